--- /dev/null
+++ b/cmake/CowslipDependencies.cmake
@@ -0,0 +1,22 @@
+# Third-party libraries, all from Debian packages (scripts/install-packages.sh).
+find_package(Threads REQUIRED)
+find_package(PkgConfig REQUIRED)
+find_package(spdlog REQUIRED)
+find_package(yaml-cpp REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(CURL REQUIRED)
+find_package(prometheus-cpp REQUIRED)
+find_package(nlohmann_json REQUIRED)
+find_package(benchmark REQUIRED)
+find_package(Boost REQUIRED COMPONENTS unit_test_framework)
+pkg_check_modules(COAP REQUIRED IMPORTED_TARGET libcoap-3-notls)
+pkg_check_modules(NGHTTP2 REQUIRED IMPORTED_TARGET libnghttp2)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+
+# These two ship no usable imported target.
+find_library(CIVETWEB_LIBRARY civetweb REQUIRED)
+find_library(DOCOPT_LIBRARY docopt REQUIRED)
+add_library(cowslip_civetweb INTERFACE)
+target_link_libraries(cowslip_civetweb INTERFACE ${CIVETWEB_LIBRARY} Threads::Threads)
+add_library(cowslip_docopt INTERFACE)
+target_link_libraries(cowslip_docopt INTERFACE ${DOCOPT_LIBRARY})
--- /dev/null
+++ b/packages/base/include/cowslip/base.h
@@ -0,0 +1,8 @@
+#pragma once
+
+/// @file Public header of the base library: ids, endpoints, time, reasons.
+
+#include "cowslip/base/clock.h"        // IWYU pragma: export
+#include "cowslip/base/endpoint.h"     // IWYU pragma: export
+#include "cowslip/base/ids.h"          // IWYU pragma: export
+#include "cowslip/base/last_reason.h"  // IWYU pragma: export
