--- /dev/null
+++ b/packages/platform/include/cowslip/platform/base64.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cowslip::platform {
+
+/// @return the padded base64 text of some bytes (RFC 4648, section 4).
+std::string EncodeBase64(std::string_view bytes);
+
+/// @param text padded base64.
+/// @return std::nullopt if the text is not canonical base64.
+std::optional<std::string> DecodeBase64(std::string_view text);
+
+}  // namespace cowslip::platform
--- /dev/null
+++ b/packages/platform/include/cowslip/platform/results.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cowslip/platform/key_value.h"
+
+namespace cowslip::platform {
+
+/// Answer to a read of one key.
+struct GetResult {
+  /// std::nullopt if the key does not exist.
+  std::optional<KeyValue> value;
+  /// Index to pass to the next watch.
+  std::uint64_t index = 0;
+};
+
+/// Answer to a read of all keys with a prefix.
+struct ListResult {
+  std::vector<KeyValue> values;
+  /// Index to pass to the next watch.
+  std::uint64_t index = 0;
+};
+
+/// Answer to a write.
+struct CasResult {
+  /// False if the condition of the write did not hold.
+  bool applied = false;
+};
+
+/// A session that was created.
+struct Session {
+  std::string id;
+};
+
+/// Answer to the renewal of a session.
+struct RenewResult {
+  /// False if the store no longer knows the session.
+  bool alive = false;
+};
+
+}  // namespace cowslip::platform
--- /dev/null
+++ b/packages/platform/src/answer_parser.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <vector>
+
+#include "cowslip/base/last_reason.h"
+#include "cowslip/platform/platform_error.h"
+#include "cowslip/platform/results.h"
+
+namespace cowslip::platform {
+
+/// @param body JSON array of entries.
+std::optional<std::vector<KeyValue>> ParseKeyValues(
+    std::string_view body, LastReason<PlatformError>& reason);
+
+/// @param body JSON object with an ID.
+std::optional<Session> ParseSession(std::string_view body,
+                                    LastReason<PlatformError>& reason);
+
+/// @param body "true" or "false".
+std::optional<CasResult> ParseWriteResult(std::string_view body,
+                                          LastReason<PlatformError>& reason);
+
+}  // namespace cowslip::platform
--- /dev/null
+++ b/packages/platform/src/http_answer.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace cowslip::platform {
+
+/// A complete HTTP answer.
+struct HttpAnswer {
+  long status = 0;
+  std::string body;
+  /// X-Consul-Index, if the answer carries one.
+  std::optional<std::uint64_t> index;
+};
+
+}  // namespace cowslip::platform
--- /dev/null
+++ b/packages/platform/src/http_transport.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cowslip/base/last_reason.h"
+#include "cowslip/platform/platform_error.h"
+#include "cowslip/platform/store_call_stats.h"
+#include "cowslip/platform/store_client_options.h"
+#include "curl_handles.h"
+#include "http_answer.h"
+#include "http_request.h"
+
+namespace cowslip::platform {
+
+/// Sends requests to the first base URL that answers.
+class HttpTransport {
+ public:
+  using Reason = LastReason<PlatformError>;
+
+  /// @return nullptr if the options are unusable.
+  static std::unique_ptr<HttpTransport> Create(
+      const StoreClientOptions& options, Reason& reason);
+
+  /// @return the answer whatever its status; std::nullopt if none came.
+  std::optional<HttpAnswer> Perform(const HttpRequest& request, Reason& reason);
+
+  /// Ends the request in progress and refuses later ones. Callable from any
+  /// thread.
+  void Cancel();
+  void Resume() { cancelled_ = false; }
+
+  std::chrono::milliseconds timeout() const { return options_.timeout; }
+  const StoreCallStats& stats() const { return stats_; }
+
+ private:
+  HttpTransport(const StoreClientOptions& options, CurlEasy easy,
+                CurlMulti multi);
+
+  void Prepare(const HttpRequest& request, HttpAnswer& answer);
+  std::optional<HttpAnswer> PerformOnce(const HttpRequest& request,
+                                        Reason& reason);
+  /// @return std::nullopt if the transfer was cancelled.
+  std::optional<CURLcode> Run();
+  void CountCall();
+  PlatformError Classify(CURLcode code) const;
+
+  StoreClientOptions options_;
+  CurlMulti multi_;
+  CurlEasy easy_;
+  CurlList headers_;
+  std::size_t url_index_ = 0;
+  std::string url_;
+  StoreCallStats stats_;
+  std::atomic<bool> cancelled_{false};
+};
+
+}  // namespace cowslip::platform
--- /dev/null
+++ b/standins/common/arguments.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cowslip/base/endpoint.h"
+
+namespace docopt {
+struct value;
+}
+
+namespace cowslip::standin {
+
+/// Command line arguments; ends the program with a message if one is malformed.
+class Arguments {
+ public:
+  /// @param usage docopt text; ends the program if the command line does not
+  /// fit it.
+  Arguments(const char* usage, int argc, char** argv);
+  ~Arguments();
+  Arguments(const Arguments&) = delete;
+  Arguments& operator=(const Arguments&) = delete;
+
+  /// @return whether an option, flag or command was given.
+  bool Has(const std::string& name) const;
+  std::string Text(const std::string& name) const;
+  std::vector<std::string> Texts(const std::string& name) const;
+  std::uint64_t Number(const std::string& name) const;
+  double Probability(const std::string& name) const;
+  std::chrono::milliseconds Milliseconds(const std::string& name) const;
+  Endpoint Address(const std::string& name) const;
+
+ private:
+  std::map<std::string, docopt::value> values_;
+};
+
+/// @return a number of 0 to 1, std::nullopt if the text is none.
+std::optional<double> ParseProbability(const std::string& text);
+
+/// Logs why the program cannot run, and ends it with status 1.
+[[noreturn]] void Fail(const std::string& message);
+
+}  // namespace cowslip::standin
--- /dev/null
+++ b/standins/common/http_request.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace cowslip::standin {
+
+/// A received HTTP request.
+struct HttpRequest {
+  std::string method;
+  /// Path, percent-decoded.
+  std::string path;
+  /// Query parameters, percent-decoded; the value is empty if there is none.
+  std::map<std::string, std::string> parameters;
+  std::string body;
+  /// Numeric address of the peer.
+  std::string source;
+
+  bool Has(const std::string& name) const {
+    return parameters.count(name) != 0;
+  }
+  /// @return the value of a parameter, empty if it is missing.
+  std::string Parameter(const std::string& name) const;
+  /// @return the value of a parameter as a number.
+  std::optional<std::uint64_t> Number(const std::string& name) const;
+};
+
+}  // namespace cowslip::standin
