--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -95,7 +95,7 @@
   static std::once_flag once;
   std::call_once(once, [] { mg_init_library(MG_FEATURES_DEFAULT); });
   const auto thread_count = std::to_string(threads);
-  const std::array<const char*, 11> options = {"listening_ports",
+  std::array<const char*, 11> options = {"listening_ports",
                                                listen.c_str(),
                                                "num_threads",
                                                thread_count.c_str(),
