--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -4,7 +4,12 @@
 
 #include <array>
 #include <charconv>
+#include <chrono>
+#include <cstdlib>
 #include <mutex>
+#include <thread>
+
+#include "cowslip/base/endpoint.h"
 
 namespace cowslip::standin {
 namespace {
@@ -68,6 +73,18 @@
   mg_write(connection, text.data(), text.size());
 }
 
+void ConnectOnce(const std::string& listen) {
+  constexpr std::chrono::milliseconds kPause{10};
+  const auto colon = listen.rfind(':');
+  const auto host = listen.substr(0, colon);
+  const int port = std::atoi(listen.c_str() + colon + 1);
+  std::array<char, 128> error;
+  mg_connection* connection =
+      mg_connect_client(host.c_str(), port, 0, error.data(), error.size());
+  if (connection != nullptr) mg_close_connection(connection);
+  std::this_thread::sleep_for(kPause);
+}
+
 }  // namespace
 
 std::string HttpRequest::Parameter(const std::string& name) const {
@@ -86,6 +103,11 @@
 }
 
 void HttpServer::ContextDeleter::operator()(mg_context* context) const {
+  // mg_stop() returns only after the accept loop has woken; a connection wakes
+  // it.
+  const std::jthread waker([this](const std::stop_token& stop) {
+    while (!stop.stop_requested()) ConnectOnce(listen);
+  });
   mg_stop(context);
 }
 
@@ -96,20 +118,25 @@
   std::call_once(once, [] { mg_init_library(MG_FEATURES_DEFAULT); });
   const auto thread_count = std::to_string(threads);
   std::array<const char*, 11> options = {"listening_ports",
-                                               listen.c_str(),
-                                               "num_threads",
-                                               thread_count.c_str(),
-                                               "tcp_nodelay",
-                                               "1",
-                                               "listen_backlog",
-                                               "1024",
-                                               "connection_queue",
-                                               "1024",
-                                               nullptr};
+                                         listen.c_str(),
+                                         "num_threads",
+                                         thread_count.c_str(),
+                                         "tcp_nodelay",
+                                         "1",
+                                         "listen_backlog",
+                                         "1024",
+                                         "connection_queue",
+                                         "1024",
+                                         nullptr};
+  if (!ParseEndpoint(listen)) {
+    reason.Set(StandinError::kBadArgument, listen);
+    return std::nullopt;
+  }
   HttpServer server;
   server.handler_ = std::make_unique<Handler>(std::move(handler));
   const mg_callbacks callbacks{};
-  server.context_.reset(mg_start(&callbacks, nullptr, options.data()));
+  server.context_ = {mg_start(&callbacks, nullptr, options.data()),
+                     ContextDeleter{listen}};
   if (!server.context_) {
     reason.Set(StandinError::kCannotListen, listen);
     return std::nullopt;
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -31,6 +31,8 @@
  private:
   struct ContextDeleter {
     void operator()(mg_context* context) const;
+
+    std::string listen;
   };
 
   HttpServer() = default;
--- /dev/null
+++ b/standins/fabric/control_face.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "standins/common/http_request.h"
+#include "standins/common/http_response.h"
+#include "standins/fabric/fabric_state.h"
+
+namespace cowslip::standin {
+
+/// Serves PUT /balancer, PUT /faults and GET /stats.
+class ControlFace {
+ public:
+  explicit ControlFace(FabricState& state) : state_(state) {}
+
+  HttpResponse Handle(const HttpRequest& request);
+
+ private:
+  bool SetBalancer(const HttpRequest& request);
+  bool SetFaults(const HttpRequest& request);
+
+  FabricState& state_;
+};
+
+}  // namespace cowslip::standin
--- /dev/null
+++ b/standins/fabric/fault_injector.cc
@@ -0,0 +1,27 @@
+#include "standins/fabric/fault_injector.h"
+
+namespace cowslip::standin {
+
+bool FaultInjector::Happens(double probability) {
+  if (probability <= 0.0) return false;
+  return std::uniform_real_distribution<double>(0.0, 1.0)(random_) <
+         probability;
+}
+
+Duration FaultInjector::Delay(const FaultSettings& settings) {
+  Duration delay = settings.delay;
+  const Duration reorder = settings.reorder;
+  if (reorder <= Duration::zero()) return delay;
+  return delay + Duration(std::uniform_int_distribution<Duration::rep>(
+                     0, reorder.count())(random_));
+}
+
+DeliveryPlan FaultInjector::Plan(const FaultSettings& settings) {
+  DeliveryPlan plan;
+  if (Happens(settings.loss)) return plan;
+  plan.first = Delay(settings);
+  if (Happens(settings.duplicate)) plan.second = Delay(settings);
+  return plan;
+}
+
+}  // namespace cowslip::standin
--- /dev/null
+++ b/standins/fabric/fault_injector.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include "cowslip/base/clock.h"
+#include "standins/fabric/fault_settings.h"
+
+namespace cowslip::standin {
+
+/// How often and how late one datagram is delivered.
+struct DeliveryPlan {
+  /// Delay of the delivery, std::nullopt if the datagram is lost.
+  std::optional<Duration> first;
+  /// Delay of the second delivery of a duplicated datagram.
+  std::optional<Duration> second;
+};
+
+/// Decides the fate of each datagram from a seeded generator.
+class FaultInjector {
+ public:
+  explicit FaultInjector(std::uint64_t seed) : random_(seed) {}
+
+  DeliveryPlan Plan(const FaultSettings& settings);
+
+ private:
+  bool Happens(double probability);
+  Duration Delay(const FaultSettings& settings);
+
+  std::mt19937_64 random_;
+};
+
+}  // namespace cowslip::standin
