--- /dev/null
+++ b/packages/ctl/src/ticket_commands.cc
@@ -0,0 +1,121 @@
+#include "ticket_commands.h"
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include "cowslip/registry.h"
+
+namespace cowslip::ctl {
+namespace {
+
+using registry::RegistryError;
+using registry::TicketRegistry;
+
+std::optional<std::string> ReadText(const std::string& file) {
+  std::ifstream stream(file);
+  std::ostringstream text;
+  if (stream && text << stream.rdbuf()) return text.str();
+  std::cerr << file << ": the file can't be read\n";
+  return std::nullopt;
+}
+
+std::optional<TicketRegistry> OpenRegistry(
+    const settings::CtlSettings& settings) {
+  platform::StoreClientOptions options;
+  options.urls = settings.store.urls;
+  options.timeout = settings.store.timeout;
+  options.token = settings.store.token;
+  LastReason<platform::PlatformError> reason;
+  auto client = platform::StoreClient::Create(options, reason);
+  if (client) return TicketRegistry(std::move(*client));
+  std::cerr << reason.Message() << "\n";
+  return std::nullopt;
+}
+
+ExitCode Report(const LastReason<RegistryError>& reason) {
+  std::cerr << reason.Message() << "\n";
+  switch (reason.code()) {
+    case RegistryError::kOk:
+      return ExitCode::kDone;
+    case RegistryError::kTaken:
+      return ExitCode::kTaken;
+    case RegistryError::kUnavailable:
+      return ExitCode::kUnavailable;
+    case RegistryError::kUnknown:
+      return ExitCode::kUnknown;
+    case RegistryError::kInvalid:
+    case RegistryError::kNotNext:
+    case RegistryError::kNotFound:
+      return ExitCode::kInvalid;
+  }
+  return ExitCode::kInvalid;
+}
+
+}  // namespace
+
+ExitCode CheckTicket(const std::string& file) {
+  const auto text = ReadText(file);
+  if (!text) return ExitCode::kInvalid;
+  LastReason<ticket::TicketError> reason;
+  const auto parsed = ticket::ParseTicket(*text, file, reason);
+  if (!parsed) {
+    std::cerr << reason.Message() << "\n";
+    return ExitCode::kInvalid;
+  }
+  std::cout << "valid ticket=" << Raw(parsed->number)
+            << " services=" << parsed->services.size() << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode SubmitTicket(const settings::CtlSettings& settings,
+                      const std::string& file) {
+  const auto text = ReadText(file);
+  if (!text) return ExitCode::kInvalid;
+  auto registry = OpenRegistry(settings);
+  if (!registry) return ExitCode::kUnavailable;
+  LastReason<RegistryError> reason;
+  const auto accepted = registry->Submit(*text, file, reason);
+  if (!accepted) return Report(reason);
+  std::cout << "accepted ticket=" << Raw(accepted->number)
+            << " repeated=" << (accepted->repeated ? "true" : "false") << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode ShowTicket(const settings::CtlSettings& settings,
+                    std::optional<std::uint64_t> number) {
+  auto registry = OpenRegistry(settings);
+  if (!registry) return ExitCode::kUnavailable;
+  LastReason<RegistryError> reason;
+  const auto history = registry->Read(reason);
+  if (!history) return Report(reason);
+  if (!number) {
+    std::cout << ticket::FormatTicket(history->state.Snapshot()) << "\n";
+    return ExitCode::kDone;
+  }
+  const auto found = history->tickets.find(TicketNumber(*number));
+  if (found == history->tickets.end()) {
+    reason.Set(RegistryError::kNotFound, std::to_string(*number));
+    return Report(reason);
+  }
+  std::cout << ticket::FormatTicket(found->second) << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode ShowHistory(const settings::CtlSettings& settings) {
+  auto registry = OpenRegistry(settings);
+  if (!registry) return ExitCode::kUnavailable;
+  LastReason<RegistryError> reason;
+  const auto history = registry->Read(reason);
+  if (!history) return Report(reason);
+  for (const auto& [number, ticket] : history->tickets) {
+    std::cout << "ticket=" << Raw(number) << " author=" << ticket.author
+              << " services=" << ticket.services.size()
+              << " removed=" << ticket.removed.size() << " note=\""
+              << ticket.note << "\"\n";
+  }
+  std::cout << "in_force=" << Raw(history->state.number()) << "\n";
+  return ExitCode::kDone;
+}
+
+}  // namespace cowslip::ctl
--- /dev/null
+++ b/packages/daemon/src/daemon_error.cc
@@ -0,0 +1,21 @@
+#include "cowslip/daemon/daemon_error.h"
+
+namespace cowslip::daemon {
+
+std::string_view ErrorMessage(DaemonError error) {
+  switch (error) {
+    case DaemonError::kOk:
+      return "ok";
+    case DaemonError::kSocket:
+      return "a socket can't be opened";
+    case DaemonError::kStore:
+      return "the store client can't be made";
+    case DaemonError::kHttp:
+      return "the HTTP face can't be started";
+    case DaemonError::kEngine:
+      return "the engine refuses its options";
+  }
+  return "unknown error";
+}
+
+}  // namespace cowslip::daemon
--- /dev/null
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -0,0 +1,169 @@
+#include "cowslip/daemon/sidecar_loop.h"
+
+#include <openssl/rand.h>
+#include <sys/socket.h>
+
+#include "cowslip/telemetry.h"
+
+namespace cowslip::daemon {
+namespace {
+
+constexpr std::uint64_t kFramesTag = 0;
+constexpr std::chrono::milliseconds kPollInterval{10};
+/// Datagrams older than this were queued while the process was stopped.
+constexpr std::chrono::milliseconds kMaxQueueTime{500};
+
+std::uint64_t ToTag(flow::FlowSlot slot) { return Raw(slot) + 1ULL; }
+flow::FlowSlot FromTag(std::uint64_t tag) {
+  return flow::FlowSlot(static_cast<std::uint32_t>(tag - 1));
+}
+
+}  // namespace
+
+std::unique_ptr<SidecarLoop> SidecarLoop::Create(
+    const settings::DaemonSettings& settings, Incarnation incarnation,
+    ViewCell& views, LastReason<DaemonError>& reason) {
+  const auto& own = *settings.sidecar;
+  engine::SidecarOptions options;
+  options.id = own.id;
+  options.service = own.service;
+  options.incarnation = incarnation;
+  options.started = std::chrono::steady_clock::now();
+  options.slots = own.slots;
+  options.slow_start = own.slow_start;
+  RAND_bytes(options.permit_key.data(),
+             static_cast<int>(options.permit_key.size()));
+  LastReason<engine::EngineError> engine_reason;
+  LastReason<link::LinkError> link_reason;
+  auto sidecar = engine::Sidecar::Create(options, engine_reason);
+  if (!sidecar) {
+    reason.Set(DaemonError::kEngine, engine_reason.Message());
+    return nullptr;
+  }
+  auto codec = link::FrameCodec::Create(settings.frame_key, link_reason);
+  auto frames = link::DatagramSocket::Bind(own.frames, link_reason);
+  if (!codec || !frames) {
+    reason.Set(DaemonError::kSocket, link_reason.Message());
+    return nullptr;
+  }
+  return std::unique_ptr<SidecarLoop>(
+      new SidecarLoop(settings, views, std::move(*sidecar), std::move(*codec),
+                      std::move(*frames)));
+}
+
+SidecarLoop::SidecarLoop(const settings::DaemonSettings& settings,
+                         ViewCell& views, engine::Sidecar sidecar,
+                         link::FrameCodec codec, link::DatagramSocket frames)
+    : settings_(settings),
+      views_(views),
+      sidecar_(std::move(sidecar)),
+      codec_(std::move(codec)),
+      frames_(std::move(frames)) {
+  poller_.Add(frames_.fd(), kFramesTag);
+}
+
+void SidecarLoop::AdoptView(TimePoint now) {
+  if (views_.epoch() == epoch_) return;
+  auto view = views_.Get();
+  epoch_ = view->epoch();
+  sidecar_.OnView(std::move(view), now, effects_);
+  CarryOut();
+}
+
+void SidecarLoop::Run() {
+  while (!stopping_) {
+    AdoptView(std::chrono::steady_clock::now());
+    if (drain_requested_.exchange(false)) sidecar_.StartDrain();
+    const auto ready = poller_.Wait(kPollInterval);
+    const auto now = std::chrono::steady_clock::now();
+    for (const auto tag : ready) {
+      if (tag == kFramesTag) {
+        ReadFrames(now);
+      } else {
+        ReadUpstream(FromTag(tag), now);
+      }
+    }
+    sidecar_.OnTick(now, effects_);
+    CarryOut();
+    remaining_ = sidecar_.flow_count() + sidecar_.runs_in_progress();
+  }
+}
+
+void SidecarLoop::ReadFrames(TimePoint now) {
+  bool refused = false;
+  const auto count = receive_.Receive(frames_, refused);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto datagram = receive_.At(i);
+    LastReason<link::LinkError> reason;
+    const auto frame = codec_.Decode(datagram.payload, reason);
+    if (!frame || datagram.queued > kMaxQueueTime) {
+      ++dropped_;
+      continue;
+    }
+    sidecar_.OnFrame(*frame, datagram.from, now, effects_);
+  }
+  CarryOut();
+}
+
+void SidecarLoop::ReadUpstream(flow::FlowSlot slot, TimePoint now) {
+  auto& socket = upstreams_[Raw(slot)];
+  if (!socket) return;
+  bool refused = false;
+  const auto count = receive_.Receive(*socket, refused);
+  if (refused) sidecar_.OnUpstreamRefused(slot, now, effects_);
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto datagram = receive_.At(i);
+    if (datagram.truncated ||
+        datagram.payload.size() > link::kMaxPayloadBytes) {
+      ++dropped_;
+      continue;
+    }
+    sidecar_.OnUpstreamDatagram(slot, datagram.payload, now, effects_);
+  }
+  CarryOut();
+}
+
+link::DatagramSocket* SidecarLoop::UpstreamSocket(flow::FlowSlot slot) {
+  const auto index = Raw(slot);
+  if (index >= upstreams_.size()) upstreams_.resize(index + 1);
+  auto& socket = upstreams_[index];
+  if (socket) return &*socket;
+  LastReason<link::LinkError> reason;
+  socket = link::DatagramSocket::Connect(settings_.sidecar->upstream, reason);
+  if (!socket) {
+    telemetry::Log(telemetry::Level::kError, "upstream_socket_failed",
+                   {{"reason", reason.Message()}});
+    return nullptr;
+  }
+  poller_.Add(socket->fd(), ToTag(slot));
+  return &*socket;
+}
+
+void SidecarLoop::CloseUpstream(flow::FlowSlot slot) {
+  const auto index = Raw(slot);
+  if (index >= upstreams_.size() || !upstreams_[index]) return;
+  poller_.Remove(upstreams_[index]->fd());
+  upstreams_[index].reset();
+}
+
+void SidecarLoop::CarryOut() {
+  for (const auto& close : effects_.closes) CloseUpstream(close.slot);
+  for (const auto& datagram : effects_.datagrams) {
+    const auto* socket = UpstreamSocket(datagram.slot);
+    if (socket == nullptr) continue;
+    if (send(socket->fd(), datagram.payload.data(), datagram.payload.size(),
+             MSG_DONTWAIT) < 0) {
+      ++dropped_;
+    }
+  }
+  for (const auto& frame : effects_.frames) {
+    send_.AddFrame(frames_, frame.to, frame.header, frame.payload, codec_);
+  }
+  send_.Flush();
+  for (const auto& fetch : effects_.fetches) {
+    noticed_ = std::max(noticed_.load(), Raw(fetch.number));
+  }
+  effects_.Clear();
+}
+
+}  // namespace cowslip::daemon
--- /dev/null
+++ b/packages/registry/include/cowslip/registry.h
@@ -0,0 +1,6 @@
+#pragma once
+
+/// @file Public header of the registry library: tickets in the store.
+
+#include "cowslip/registry/registry_error.h"   // IWYU pragma: export
+#include "cowslip/registry/ticket_registry.h"  // IWYU pragma: export
--- /dev/null
+++ b/packages/registry/src/registry_error.cc
@@ -0,0 +1,25 @@
+#include "cowslip/registry/registry_error.h"
+
+namespace cowslip::registry {
+
+std::string_view ErrorMessage(RegistryError error) {
+  switch (error) {
+    case RegistryError::kOk:
+      return "ok";
+    case RegistryError::kInvalid:
+      return "the ticket is refused";
+    case RegistryError::kTaken:
+      return "another operator holds this number";
+    case RegistryError::kNotNext:
+      return "the number does not follow the highest ticket";
+    case RegistryError::kUnavailable:
+      return "the store can't be reached; the ticket is not accepted";
+    case RegistryError::kUnknown:
+      return "the store didn't answer; submit again to learn the outcome";
+    case RegistryError::kNotFound:
+      return "there is no such ticket";
+  }
+  return "unknown error";
+}
+
+}  // namespace cowslip::registry
--- a/packages/telemetry/include/cowslip/telemetry/metrics.h
+++ b/packages/telemetry/include/cowslip/telemetry/metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <prometheus/collectable.h>
+#include <prometheus/metric_family.h>
 
 #include <cstdint>
 #include <map>
--- a/packages/ticket/include/cowslip/ticket.h
+++ b/packages/ticket/include/cowslip/ticket.h
@@ -6,4 +6,5 @@
 #include "cowslip/ticket/service.h"       // IWYU pragma: export
 #include "cowslip/ticket/ticket.h"        // IWYU pragma: export
 #include "cowslip/ticket/ticket_error.h"  // IWYU pragma: export
+#include "cowslip/ticket/ticket_keys.h"   // IWYU pragma: export
 #include "cowslip/ticket/ticket_state.h"  // IWYU pragma: export
