--- /dev/null
+++ b/standins/caller/observe_order.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "cowslip/base/clock.h"
+
+namespace cowslip::standin {
+
+/// Tells fresh notifications from reordered ones (RFC 7641, section 3.4).
+class ObserveOrder {
+ public:
+  /// @param sequence value of the Observe option.
+  /// @return whether the notification is newer than the newest so far.
+  bool Accept(std::uint32_t sequence, TimePoint now);
+
+ private:
+  bool IsFresh(std::uint32_t sequence, TimePoint now) const;
+
+  std::optional<std::uint32_t> newest_;
+  TimePoint newest_time_{};
+};
+
+}  // namespace cowslip::standin
--- /dev/null
+++ b/standins/upstream/run_queue.cc
@@ -0,0 +1,33 @@
+#include "standins/upstream/run_queue.h"
+
+#include <algorithm>
+
+namespace cowslip::standin {
+
+void RunQueue::Add(coap_async_t* request, const std::string& claim_id) {
+  queued_.push_back({request, claim_id});
+  StartNext();
+}
+
+void RunQueue::Complete(coap_async_t* request) {
+  in_progress_.erase(request);
+  StartNext();
+}
+
+void RunQueue::StartNext() {
+  const coap_tick_t ticks =
+      options_.service_time.count() * COAP_TICKS_PER_SECOND / 1000;
+  while (!queued_.empty() && in_progress_.size() < options_.slots) {
+    const auto run = std::move(queued_.front());
+    queued_.pop_front();
+    journal_.Append(run.claim_id, std::chrono::steady_clock::now());
+    in_progress_[run.request] = run.claim_id;
+    // A delay of 0 would wait for ever.
+    coap_async_set_delay(run.request, std::max<coap_tick_t>(ticks, 1));
+  }
+  Report();
+}
+
+void RunQueue::Report() { report_.Set({in_progress_.size(), queued_.size()}); }
+
+}  // namespace cowslip::standin
