--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -156,14 +156,10 @@
                                   const coap_pdu_t* received, coap_mid_t) {
   auto& client = *static_cast<CoapClient*>(
       coap_get_app_data(coap_session_get_context(session)));
-  const bool is_challenge =
-      coap_pdu_get_code(received) == COAP_RESPONSE_CODE_UNAUTHORIZED &&
-      Option(received, COAP_OPTION_ECHO).has_value();
-  if (is_challenge) {
-    ++client.challenges_;
-  } else if (client.on_response_) {
+  // libcoap repeats a challenged request by itself, once, and passes only a
+  // later challenge on.
+  if (client.on_response_)
     client.receiving_ = client.on_response_(ToResponse(received));
-  }
   return COAP_RESPONSE_OK;
 }
 
--- a/standins/caller/coap_client.h
+++ b/standins/caller/coap_client.h
@@ -50,8 +50,6 @@
 
   /// Why the request failed for good, empty if it did not.
   const std::string& failure() const { return failure_; }
-  /// Echo challenges that libcoap passed to the application.
-  std::uint64_t challenges() const { return challenges_; }
 
  private:
   CoapClient();
@@ -67,7 +65,6 @@
   OnResponse on_response_;
   bool receiving_ = false;
   std::string failure_;
-  std::uint64_t challenges_ = 0;
 };
 
 }  // namespace cowslip::standin
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -54,8 +54,7 @@
 ExitCode PrintTimeout(const CoapClient& client) {
   const std::string why =
       client.failure().empty() ? "no_answer" : client.failure();
-  std::cout << "timeout=" << why << " challenges=" << client.challenges()
-            << std::endl;
+  std::cout << "timeout=" << why << std::endl;
   return ExitCode::kTimeout;
 }
 
