--- a/packages/daemon/include/cowslip/daemon/http_face.h
+++ b/packages/daemon/include/cowslip/daemon/http_face.h
@@ -32,7 +32,7 @@
 class HttpFace {
  public:
   static std::unique_ptr<HttpFace> Start(const Endpoint& listen,
-                                         HttpContent content,
+                                         const HttpContent& content,
                                          LastReason<DaemonError>& reason);
   ~HttpFace();
 
--- a/packages/daemon/src/http_face.cc
+++ b/packages/daemon/src/http_face.cc
@@ -44,7 +44,7 @@
 }
 
 std::unique_ptr<HttpFace> HttpFace::Start(const Endpoint& listen,
-                                          HttpContent content,
+                                          const HttpContent& content,
                                           LastReason<DaemonError>& reason) {
   const auto health = [show = content.health] {
     const auto state = show();
--- a/packages/platform/src/http_transport.cc
+++ b/packages/platform/src/http_transport.cc
@@ -47,8 +47,9 @@
 CurlList MakeHeaders(const std::string& token) {
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
   list = curl_slist_append(list, "Content-Type: application/octet-stream");
-  if (!token.empty())
+  if (!token.empty()) {
     list = curl_slist_append(list, ("X-Consul-Token: " + token).c_str());
+  }
   return CurlList(list);
 }
 
@@ -140,8 +141,9 @@
   const CurlAttachment attachment(multi_.get(), easy_.get());
   while (!cancelled_) {
     int running = 0;
-    if (curl_multi_perform(multi_.get(), &running) != CURLM_OK)
+    if (curl_multi_perform(multi_.get(), &running) != CURLM_OK) {
       return CURLE_FAILED_INIT;
+    }
     int queued = 0;
     while (const CURLMsg* message =
                curl_multi_info_read(multi_.get(), &queued)) {
--- a/packages/platform/src/store_client.cc
+++ b/packages/platform/src/store_client.cc
@@ -159,8 +159,9 @@
   const auto limit = wait + wait / kWaitJitterDivisor + transport_->timeout();
   auto answer = transport_->Perform({"GET", url.text(), {}, limit}, reason);
   if (!answer) return std::nullopt;
-  if (answer->status != kNotFound && !CheckStatus(*answer, reason))
+  if (answer->status != kNotFound && !CheckStatus(*answer, reason)) {
     return std::nullopt;
+  }
   return answer;
 }
 
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -45,8 +45,9 @@
   const std::lock_guard lock(mutex_);
   std::vector<prometheus::MetricFamily> families;
   for (const auto& source : sources_) {
-    for (auto& family : source->Collect())
+    for (auto& family : source->Collect()) {
       families.push_back(std::move(family));
+    }
   }
   return prometheus::TextSerializer().Serialize(families);
 }
