--- a/packages/platform/src/answer_parser.cc
+++ b/packages/platform/src/answer_parser.cc
@@ -20,8 +20,9 @@
   const auto key = entry.find("Key");
   const auto value = entry.find("Value");
   const auto index = entry.find("ModifyIndex");
-  if (key == entry.end() || value == entry.end() || index == entry.end())
+  if (key == entry.end() || value == entry.end() || index == entry.end()) {
     return std::nullopt;
+  }
   if (!key->is_string() || !index->is_number_unsigned()) return std::nullopt;
   auto bytes = ParseValue(*value);
   if (!bytes) return std::nullopt;
@@ -30,8 +31,9 @@
                   index->get<std::uint64_t>(),
                   {}};
   const auto session = entry.find("Session");
-  if (session != entry.end() && session->is_string())
+  if (session != entry.end() && session->is_string()) {
     result.session = session->get<std::string>();
+  }
   return result;
 }
 
--- a/packages/platform/src/http_answer.h
+++ b/packages/platform/src/http_answer.h
@@ -8,7 +8,7 @@
 
 /// A complete HTTP answer.
 struct HttpAnswer {
-  long status = 0;
+  int status = 0;
   std::string body;
   /// X-Consul-Index, if the answer carries one.
   std::optional<std::uint64_t> index;
--- a/packages/platform/src/http_transport.cc
+++ b/packages/platform/src/http_transport.cc
@@ -47,8 +47,9 @@
 CurlList MakeHeaders(const std::string& token) {
   curl_slist* list = curl_slist_append(nullptr, "Expect:");
   list = curl_slist_append(list, "Content-Type: application/octet-stream");
-  if (!token.empty())
+  if (!token.empty()) {
     list = curl_slist_append(list, ("X-Consul-Token: " + token).c_str());
+  }
   return CurlList(list);
 }
 
@@ -104,7 +105,7 @@
     reason.Set(Classify(*code), url_ + ": " + curl_easy_strerror(*code));
     return std::nullopt;
   }
-  curl_easy_getinfo(easy_.get(), CURLINFO_RESPONSE_CODE, &answer.status);
+  answer.status = static_cast<int>(GetInfo(CURLINFO_RESPONSE_CODE));
   return answer;
 }
 
@@ -140,8 +141,9 @@
   const CurlAttachment attachment(multi_.get(), easy_.get());
   while (!cancelled_) {
     int running = 0;
-    if (curl_multi_perform(multi_.get(), &running) != CURLM_OK)
+    if (curl_multi_perform(multi_.get(), &running) != CURLM_OK) {
       return CURLE_FAILED_INIT;
+    }
     int queued = 0;
     while (const CURLMsg* message =
                curl_multi_info_read(multi_.get(), &queued)) {
@@ -153,25 +155,27 @@
   return std::nullopt;
 }
 
+std::int64_t HttpTransport::GetInfo(CURLINFO info) const {
+  long value = 0;  // NOLINT(google-runtime-int): the type that libcurl writes.
+  curl_easy_getinfo(easy_.get(), info, &value);
+  return value;
+}
+
 void HttpTransport::CountCall() {
   CURL* easy = easy_.get();
-  long sent = 0;
-  long received = 0;
   curl_off_t uploaded = 0;
   curl_off_t downloaded = 0;
-  curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &sent);
-  curl_easy_getinfo(easy, CURLINFO_HEADER_SIZE, &received);
   curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &uploaded);
   curl_easy_getinfo(easy, CURLINFO_SIZE_DOWNLOAD_T, &downloaded);
   ++stats_.calls;
-  stats_.bytes_out += static_cast<std::uint64_t>(sent + uploaded);
-  stats_.bytes_in += static_cast<std::uint64_t>(received + downloaded);
+  stats_.bytes_out +=
+      static_cast<std::uint64_t>(GetInfo(CURLINFO_REQUEST_SIZE) + uploaded);
+  stats_.bytes_in +=
+      static_cast<std::uint64_t>(GetInfo(CURLINFO_HEADER_SIZE) + downloaded);
 }
 
 PlatformError HttpTransport::Classify(CURLcode code) const {
-  long sent = 0;
-  curl_easy_getinfo(easy_.get(), CURLINFO_REQUEST_SIZE, &sent);
-  if (sent == 0) return PlatformError::kUnavailable;
+  if (GetInfo(CURLINFO_REQUEST_SIZE) == 0) return PlatformError::kUnavailable;
   if (code == CURLE_OPERATION_TIMEDOUT) return PlatformError::kTimeout;
   return PlatformError::kAnswerLost;
 }
--- a/packages/platform/src/http_transport.h
+++ b/packages/platform/src/http_transport.h
@@ -44,6 +44,8 @@
                                         Reason& reason);
   /// @return std::nullopt if the transfer was cancelled.
   std::optional<CURLcode> Run();
+  /// @return the value of a numeric property of the last transfer.
+  std::int64_t GetInfo(CURLINFO info) const;
   void CountCall();
   PlatformError Classify(CURLcode code) const;
 
--- a/packages/platform/src/store_client.cc
+++ b/packages/platform/src/store_client.cc
@@ -9,15 +9,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr long kNotFound = 404;
+constexpr int kNotFound = 404;
 constexpr int kWaitJitterDivisor = 16;
 
 /// @return whether the status is a success; sets the reason if not.
 bool CheckStatus(const HttpAnswer& answer, LastReason<PlatformError>& reason) {
-  constexpr long kFirstSuccess = 200;
-  constexpr long kFirstRedirect = 300;
-  constexpr long kFirstClientError = 400;
-  constexpr long kFirstServerError = 500;
+  constexpr int kFirstSuccess = 200;
+  constexpr int kFirstRedirect = 300;
+  constexpr int kFirstClientError = 400;
+  constexpr int kFirstServerError = 500;
   const auto status = answer.status;
   if (status >= kFirstSuccess && status < kFirstRedirect) return true;
   auto error = PlatformError::kBadAnswer;
@@ -159,8 +159,9 @@
   const auto limit = wait + wait / kWaitJitterDivisor + transport_->timeout();
   auto answer = transport_->Perform({"GET", url.text(), {}, limit}, reason);
   if (!answer) return std::nullopt;
-  if (answer->status != kNotFound && !CheckStatus(*answer, reason))
+  if (answer->status != kNotFound && !CheckStatus(*answer, reason)) {
     return std::nullopt;
+  }
   return answer;
 }
 
--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -158,8 +158,9 @@
       coap_get_app_data(coap_session_get_context(session)));
   // libcoap repeats a challenged request by itself, once, and passes only a
   // later challenge on.
-  if (client.on_response_)
+  if (client.on_response_) {
     client.receiving_ = client.on_response_(ToResponse(received));
+  }
   return COAP_RESPONSE_OK;
 }
 
--- a/standins/common/coap_handles.h
+++ b/standins/common/coap_handles.h
@@ -61,8 +61,9 @@
   std::size_t offset = 0;
   std::size_t total = 0;
   const std::uint8_t* data = nullptr;
-  if (coap_get_data_large(message, &size, &data, &offset, &total) == 0)
+  if (coap_get_data_large(message, &size, &data, &offset, &total) == 0) {
     return {};
+  }
   return {reinterpret_cast<const char*>(data), size};
 }
 
--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -54,8 +54,9 @@
   request.method = info->request_method;
   request.path = info->local_uri;
   request.source = info->remote_addr;
-  if (info->query_string != nullptr)
+  if (info->query_string != nullptr) {
     ParseQuery(info->query_string, request.parameters);
+  }
   if (request.method != "GET") request.body = ReadBody(connection);
   return request;
 }
@@ -67,8 +68,9 @@
   text +=
       "Content-Type: " + response.content_type + "\r\nConnection: close\r\n";
   text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-  for (const auto& [name, value] : response.headers)
-    text.append(name + ": " + value + "\r\n");
+  for (const auto& [name, value] : response.headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
   text += "\r\n" + response.body;
   mg_write(connection, text.data(), text.size());
 }
--- a/standins/store/http_face.cc
+++ b/standins/store/http_face.cc
@@ -109,9 +109,10 @@
   options.delete_keys =
       json.contains("Behavior") && json["Behavior"] == "delete";
   options.ttl = DurationField(json, "TTL");
-  const bool has_bad_ttl =
-      json.contains("TTL") && json["TTL"] != "" && !options.ttl;
-  if (has_bad_ttl) return std::nullopt;
+  const auto ttl = json.value("TTL", Json(""));
+  const bool has_ttl =
+      !ttl.is_string() || !ttl.get_ref<const std::string&>().empty();
+  if (has_ttl && !options.ttl) return std::nullopt;
   return options;
 }
 
@@ -174,8 +175,9 @@
   if (request.Has("acquire")) write.acquire = request.Parameter("acquire");
   if (request.Has("release")) write.release = request.Parameter("release");
   const auto outcome = store_.Write(write);
-  if (outcome == WriteOutcome::kUnknownSession)
+  if (outcome == WriteOutcome::kUnknownSession) {
     return Plain(kServerError, "invalid session");
+  }
   return Boolean(outcome == WriteOutcome::kApplied);
 }
 
@@ -190,11 +192,13 @@
   const bool is_known = path == kCreatePath || path.starts_with(kRenewPath) ||
                         path.starts_with(kDestroyPath);
   if (!is_known) return Plain(kNotFound, "unknown path");
-  if (request.method != "PUT")
+  if (request.method != "PUT") {
     return Plain(kMethodNotAllowed, "method not allowed");
+  }
   if (path == kCreatePath) return CreateSession(request);
-  if (path.starts_with(kRenewPath))
+  if (path.starts_with(kRenewPath)) {
     return RenewSession(path.substr(kRenewPath.size()));
+  }
   store_.DestroySession(path.substr(kDestroyPath.size()));
   return Boolean(true);
 }
--- a/standins/store/store.cc
+++ b/standins/store/store.cc
@@ -35,8 +35,9 @@
 
 WriteOutcome Store::Write(const StoreWrite& write) {
   const std::lock_guard lock(mutex_);
-  if (write.cas && !IsCasMet(write.key, *write.cas))
+  if (write.cas && !IsCasMet(write.key, *write.cas)) {
     return WriteOutcome::kNotApplied;
+  }
   if (write.acquire) return Acquire(write);
   if (write.release) return Release(write);
   table_.Write(write.key, write.value, write.flags);
@@ -45,12 +46,14 @@
 }
 
 WriteOutcome Store::Acquire(const StoreWrite& write) {
-  if (sessions_.Find(*write.acquire) == nullptr)
+  if (sessions_.Find(*write.acquire) == nullptr) {
     return WriteOutcome::kUnknownSession;
+  }
   const KvEntry* entry = table_.Find(write.key);
   const std::string holder = entry == nullptr ? std::string{} : entry->session;
-  if (!holder.empty() && holder != *write.acquire)
+  if (!holder.empty() && holder != *write.acquire) {
     return WriteOutcome::kNotApplied;
+  }
   const auto delay = lock_delays_.find(write.key);
   if (delay != lock_delays_.end() && Clock::now() < delay->second) {
     return WriteOutcome::kNotApplied;
--- a/standins/upstream/run_queue.cc
+++ b/standins/upstream/run_queue.cc
@@ -1,6 +1,7 @@
 #include "standins/upstream/run_queue.h"
 
 #include <algorithm>
+#include <iostream>
 
 namespace cowslip::standin {
 
@@ -20,7 +21,10 @@
   while (!queued_.empty() && in_progress_.size() < options_.slots) {
     const auto run = std::move(queued_.front());
     queued_.pop_front();
-    journal_.Append(run.claim_id, std::chrono::steady_clock::now());
+    const bool is_written =
+        journal_.Append(run.claim_id, std::chrono::steady_clock::now());
+    if (!is_written)
+      std::cerr << "event=journal_failed claim=" << run.claim_id << std::endl;
     in_progress_[run.request] = run.claim_id;
     // A delay of 0 would wait for ever.
     coap_async_set_delay(run.request, std::max<coap_tick_t>(ticks, 1));
