--- /dev/null
+++ b/benchmarks/balancer_benchmark.cc
@@ -0,0 +1,105 @@
+// Time and allocations of one balancer decision, hinted and ranked.
+
+#include <benchmark/benchmark.h>
+
+#include <random>
+
+#include "allocation_count.h"
+#include "cowslip/engine.h"
+
+namespace {
+
+using namespace cowslip;  // NOLINT(google-build-using-namespace)
+
+constexpr Endpoint kService{0x7f350001, 5683};
+
+membership::ViewPtr MakeView(std::uint32_t members) {
+  ticket::Ticket ticket;
+  ticket.number = TicketNumber(1);
+  ticket::Service service;
+  service.id = ServiceId(1);
+  service.name = "custody";
+  service.address = kService;
+  ticket.services.push_back(service);
+  std::vector<Upstream> upstreams;
+  for (std::uint32_t i = 1; i <= members; ++i) {
+    Upstream upstream;
+    upstream.id = UpstreamId(i);
+    upstream.service = service.id;
+    upstream.sidecar = {0x7f150000 + i, 7000};
+    upstreams.push_back(upstream);
+  }
+  return std::make_shared<membership::View>(
+      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
+}
+
+FlowKey MakeKey(std::uint32_t flow) {
+  return {
+      {0x0a000000 + flow / 50'000, static_cast<std::uint16_t>(flow % 50'000)},
+      kService};
+}
+
+engine::Balancer MakeBalancer(std::uint32_t members) {
+  LastReason<engine::EngineError> reason;
+  engine::BalancerOptions options;
+  options.id = BalancerId(1);
+  auto balancer = engine::Balancer::Create(options, reason);
+  balancer->OnView(MakeView(members));
+  return std::move(*balancer);
+}
+
+void LearnHint(engine::Balancer& balancer, const FlowKey& key,
+               UpstreamId upstream, TimePoint now,
+               engine::BalancerEffects& effects) {
+  link::Frame reply;
+  reply.header.kind = link::FrameKind::kReply;
+  reply.header.service = ServiceId(1);
+  reply.header.ticket = TicketNumber(1);
+  reply.header.sender = Raw(upstream);
+  reply.header.flow = key;
+  balancer.OnFrame(reply, {}, now, effects);
+  effects.Clear();
+}
+
+/// Decides for random flows of a fixed set.
+/// Arguments: flows, members, and whether hints were learnt.
+void BalancerDecision(benchmark::State& state) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  const auto members = static_cast<std::uint32_t>(state.range(1));
+  auto balancer = MakeBalancer(members);
+  engine::BalancerEffects effects;
+  const auto now = TimePoint(std::chrono::hours(1));
+  if (state.range(2) != 0) {
+    for (std::uint32_t i = 0; i < flows; ++i) {
+      LearnHint(balancer, MakeKey(i), UpstreamId(1 + i % members), now,
+                effects);
+    }
+  }
+  std::mt19937 random(1);
+  std::vector<FlowKey> keys;
+  for (std::uint32_t i = 0; i < flows; ++i)
+    keys.push_back(MakeKey(random() % flows));
+  const std::array<std::uint8_t, 64> payload{};
+  balancer.OnCallerDatagram({keys[0], payload}, now, effects);
+  effects.Clear();
+  std::size_t next = 0;
+  const auto before = AllocationCount();
+  for (auto _ : state) {
+    balancer.OnCallerDatagram({keys[next], payload}, now, effects);
+    benchmark::DoNotOptimize(effects.frames.data());
+    effects.Clear();
+    if (++next == keys.size()) next = 0;
+  }
+  state.counters["allocations"] =
+      static_cast<double>(AllocationCount() - before);
+}
+BENCHMARK(BalancerDecision)
+    ->ArgNames({"flows", "members", "hinted"})
+    ->Args({300'000, 7, 1})
+    ->Args({300'000, 7, 0})
+    ->Args({300'000, 100, 1})
+    ->Args({300'000, 100, 0});
+
+}  // namespace
+
+BENCHMARK_MAIN();
--- a/packages/engine/src/balancer.cc
+++ b/packages/engine/src/balancer.cc
@@ -45,7 +45,12 @@
     silent.Add(upstream.id);
     return true;
   };
-  return flow::TopUpstream(service.upstreams, hash, skip);
+  const auto* answering = flow::TopUpstream(service.upstreams, hash, skip);
+  if (answering != nullptr) return answering;
+  // All are silent: the evidence may be wrong, and nothing better is known.
+  silent = {};
+  const auto none = [](const Upstream&) { return false; };
+  return flow::TopUpstream(service.upstreams, hash, none);
 }
 
 void Balancer::ProbeIfDue(const ServiceView& service, const Upstream& upstream,
--- /dev/null
+++ b/tests/balancer_test.cc
@@ -0,0 +1,86 @@
+#define BOOST_TEST_MODULE balancer
+#include <boost/test/unit_test.hpp>
+
+#include "cowslip/engine.h"
+
+namespace cowslip::engine {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr Endpoint kService{0x7f350001, 5683};
+constexpr Endpoint kCaller{0x7f000001, 40000};
+constexpr TimePoint kStart{std::chrono::hours(1)};
+
+membership::ViewPtr MakeView(std::uint32_t members) {
+  ticket::Ticket ticket;
+  ticket.number = TicketNumber(1);
+  ticket::Service service;
+  service.id = ServiceId(1);
+  service.name = "custody";
+  service.address = kService;
+  ticket.services.push_back(service);
+  std::vector<Upstream> upstreams;
+  for (std::uint32_t i = 1; i <= members; ++i) {
+    Upstream upstream;
+    upstream.id = UpstreamId(i);
+    upstream.service = service.id;
+    upstream.sidecar = {0x7f150000 + i, 7000};
+    upstreams.push_back(upstream);
+  }
+  return std::make_shared<membership::View>(
+      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
+}
+
+Balancer MakeBalancer(std::uint32_t members) {
+  LastReason<EngineError> reason;
+  BalancerOptions options;
+  options.id = BalancerId(1);
+  auto balancer = Balancer::Create(options, reason);
+  balancer->OnView(MakeView(members));
+  return std::move(*balancer);
+}
+
+/// Sends one caller datagram. @return the endpoint that received its frame.
+std::optional<Endpoint> Send(Balancer& balancer, TimePoint now) {
+  BalancerEffects effects;
+  balancer.OnCallerDatagram({{kCaller, kService}, {}}, now, effects);
+  for (const auto& frame : effects.frames) {
+    if (frame.header.kind == link::FrameKind::kCallerData) return frame.to;
+  }
+  return std::nullopt;
+}
+
+BOOST_AUTO_TEST_CASE(SilentUpstreamIsSkippedAfterAnUnansweredProbe) {
+  auto balancer = MakeBalancer(2);
+  const auto first = Send(balancer, kStart);
+  BOOST_REQUIRE(first);
+  Send(balancer, kStart + milliseconds(150));
+  BOOST_TEST((Send(balancer, kStart + milliseconds(500)) == first));
+  const auto later = Send(balancer, kStart + milliseconds(600));
+  BOOST_REQUIRE(later);
+  BOOST_TEST((*later != *first));
+}
+
+BOOST_AUTO_TEST_CASE(DatagramIsStillSentWhenAllUpstreamsAreSilent) {
+  auto balancer = MakeBalancer(1);
+  Send(balancer, kStart);
+  Send(balancer, kStart + milliseconds(150));
+  BOOST_TEST(Send(balancer, kStart + milliseconds(2000)).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReplyForAnotherServiceIsDropped) {
+  auto balancer = MakeBalancer(1);
+  link::Frame reply;
+  reply.header.kind = link::FrameKind::kReply;
+  reply.header.service = ServiceId(2);
+  reply.header.ticket = TicketNumber(1);
+  reply.header.flow = {kCaller, kService};
+  BalancerEffects effects;
+  balancer.OnFrame(reply, {}, kStart, effects);
+  BOOST_TEST(effects.datagrams.empty());
+  BOOST_TEST(balancer.counters().Get(Counter::kDropWrongService) == 1U);
+}
+
+}  // namespace
+}  // namespace cowslip::engine
