--- a/benchmarks/frame_benchmark.cc
+++ b/benchmarks/frame_benchmark.cc
@@ -30,12 +30,7 @@
 void DecodeFrame(benchmark::State& state) {
   auto codec = MakeCodec();
   const Bytes payload(static_cast<std::size_t>(state.range(0)));
-  link::EncodedHeader encoded;
-  link::FrameMac mac;
-  codec.Encode(link::FrameHeader{}, payload, encoded, mac);
-  Bytes datagram(encoded.begin(), encoded.end());
-  datagram.insert(datagram.end(), payload.begin(), payload.end());
-  datagram.insert(datagram.end(), mac.begin(), mac.end());
+  const auto datagram = codec.Seal(link::FrameHeader{}, payload);
   LastReason<link::LinkError> reason;
   for (auto _ : state) {
     auto frame = codec.Decode(datagram, reason);
--- a/packages/coap/src/message.cc
+++ b/packages/coap/src/message.cc
@@ -21,7 +21,17 @@
 };
 using PduPtr = std::unique_ptr<coap_pdu_t, PduDelete>;
 
+/// libcoap logs every malformed message on its own; callers count them instead.
+void SilenceLibrary() {
+  static const bool kDone = [] {
+    coap_set_log_level(LOG_EMERG);
+    return true;
+  }();
+  static_cast<void>(kDone);
+}
+
 PduPtr ParsePdu(ByteView datagram) {
+  SilenceLibrary();
   PduPtr pdu(coap_pdu_init(COAP_MESSAGE_CON, COAP_EMPTY_CODE, 0,
                            std::max<std::size_t>(datagram.size(), 1)));
   if (!pdu) return nullptr;
--- a/packages/link/include/cowslip/link/frame_codec.h
+++ b/packages/link/include/cowslip/link/frame_codec.h
@@ -44,6 +44,9 @@
   void Encode(const FrameHeader& header, ByteView payload,
               EncodedHeader& encoded, FrameMac& mac);
 
+  /// @return a whole frame as one datagram; off the hot path.
+  Bytes Seal(const FrameHeader& header, ByteView payload);
+
   /// @return the frame, or std::nullopt if the datagram is truncated, foreign,
   ///     malformed or forged.
   std::optional<Frame> Decode(ByteView datagram, LastReason<LinkError>& reason);
--- a/packages/link/src/frame_codec.cc
+++ b/packages/link/src/frame_codec.cc
@@ -122,6 +122,18 @@
   mac = Authenticate(encoded, payload);
 }
 
+Bytes FrameCodec::Seal(const FrameHeader& header, ByteView payload) {
+  EncodedHeader encoded;
+  FrameMac mac;
+  Encode(header, payload, encoded, mac);
+  Bytes datagram;
+  datagram.reserve(kFrameHeaderBytes + payload.size() + kFrameMacBytes);
+  datagram.insert(datagram.end(), encoded.begin(), encoded.end());
+  datagram.insert(datagram.end(), payload.begin(), payload.end());
+  datagram.insert(datagram.end(), mac.begin(), mac.end());
+  return datagram;
+}
+
 std::optional<Frame> FrameCodec::Decode(ByteView datagram,
                                         LastReason<LinkError>& reason) {
   if (datagram.size() < kFrameHeaderBytes + kFrameMacBytes) {
--- a/packages/yaml/src/map_reader.cc
+++ b/packages/yaml/src/map_reader.cc
@@ -24,6 +24,14 @@
   });
 }
 
+/// Looks a key up. yaml-cpp adds missing keys to maps that aren't const, which
+/// would invalidate iterators.
+YAML::Node Lookup(const YAML::Node& map, const std::string& key) {
+  if (!map.IsMap()) return YAML::Node(YAML::NodeType::Undefined);
+  const YAML::Node found = map[key];
+  return found.IsDefined() ? found : YAML::Node(YAML::NodeType::Undefined);
+}
+
 }  // namespace
 
 MapReader::MapReader(const YAML::Node& node, std::string_view file,
@@ -35,25 +43,26 @@
 void MapReader::Fail(YamlError error, const std::string& key,
                      std::string_view detail) {
   if (!reason_->ok()) return;
-  const bool present = !key.empty() && node_.IsMap() && node_[key].IsDefined();
+  const auto found = Lookup(node_, key);
   std::string field = path_;
   if (!key.empty()) field += (field.empty() ? "" : ".") + key;
   if (!detail.empty()) field += " (" + std::string(detail) + ")";
-  reason_->Set(error,
-               Position(file_, present ? node_[key] : node_) + ": " + field);
+  reason_->Set(
+      error, Position(file_, found.IsDefined() ? found : node_) + ": " + field);
 }
 
 std::optional<YAML::Node> MapReader::Take(const std::string& key,
                                           bool required) {
   read_.insert(key);
   if (!ok()) return std::nullopt;
-  if (node_.IsMap() && node_[key].IsDefined()) return node_[key];
+  const auto found = Lookup(node_, key);
+  if (found.IsDefined()) return found;
   if (required) Fail(YamlError::kMissingKey, key);
   return std::nullopt;
 }
 
 bool MapReader::Has(const std::string& key) const {
-  return node_.IsMap() && node_[key].IsDefined();
+  return Lookup(node_, key).IsDefined();
 }
 
 std::string MapReader::Text(const std::string& key,
