--- a/standins/upstream/run_queue.cc
+++ b/standins/upstream/run_queue.cc
@@ -23,8 +23,9 @@
     queued_.pop_front();
     const bool is_written =
         journal_.Append(run.claim_id, std::chrono::steady_clock::now());
-    if (!is_written)
+    if (!is_written) {
       std::cerr << "event=journal_failed claim=" << run.claim_id << std::endl;
+    }
     in_progress_[run.request] = run.claim_id;
     // A delay of 0 would wait for ever.
     coap_async_set_delay(run.request, std::max<coap_tick_t>(ticks, 1));
