--- a/packages/daemon/src/balancer_daemon.cc
+++ b/packages/daemon/src/balancer_daemon.cc
@@ -3,6 +3,7 @@
 #include <thread>
 #include <vector>
 
+#include "burn_board.h"
 #include "cowslip/daemon/balancer_loop.h"
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
@@ -16,7 +17,6 @@
 using telemetry::Level;
 using telemetry::Log;
 
-constexpr std::chrono::hours kForever{24 * 365};
 /// Time for sidecars to move replies and for the fabric to stop sending here.
 constexpr std::chrono::seconds kLeaveTime{2};
 
@@ -58,13 +58,15 @@
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<EngineMetrics<BalancerLoop>>(readable));
-  const auto face = HttpFace::Start(
-      settings.http, MakeInstancePages(settings, *control, metrics), reason);
+  BurnBoard board(settings.objectives);
+  auto pages = MakeInstancePages(settings, *control, metrics);
+  board.AddPages(settings.instance, pages);
+  const auto face = HttpFace::Start(settings.http, pages, reason);
   if (face == nullptr) return false;
   const TrafficThreads threads(loops);
   Log(Level::kInfo, "balancer_started",
       {{"frames", ToString(settings.balancer->frames)}});
-  stop.WaitFor(kForever);
+  board.SampleUntilStopped(stop, readable);
   Log(Level::kInfo, "balancer_draining");
   for (auto& loop : loops) loop->Drain();
   stop.WaitFor(kLeaveTime);
--- /dev/null
+++ b/packages/daemon/src/burn_board.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "cowslip/daemon/http_face.h"
+#include "cowslip/engine.h"
+#include "cowslip/settings.h"
+#include "cowslip/telemetry.h"
+#include "stop_signal.h"
+
+namespace cowslip::daemon {
+
+/// Samples the objectives of a process and shows their burn.
+class BurnBoard {
+ public:
+  explicit BurnBoard(
+      const std::vector<settings::ObjectiveSettings>& objectives);
+
+  /// Fills the pages of the report; the board must outlive the HTTP face.
+  void AddPages(const std::string& instance, HttpContent& content);
+
+  /// Samples the counters of the loops until a signal comes.
+  /// @tparam Loop has counters().
+  template <typename Loop>
+  void SampleUntilStopped(const StopSignal& stop,
+                          const std::vector<const Loop*>& loops) {
+    do {
+      const auto now = std::chrono::steady_clock::now();
+      for (std::size_t i = 0; i < indicators_.size(); ++i) {
+        telemetry::EventTotals totals;
+        for (const auto* loop : loops) {
+          AddTotals(indicators_[i], loop->counters(), totals);
+        }
+        Sample(i, totals, now);
+      }
+    } while (!stop.WaitFor(kSampleInterval));
+  }
+
+ private:
+  static constexpr std::chrono::seconds kSampleInterval{10};
+
+  static void AddTotals(settings::Indicator indicator,
+                        const engine::Counters& counters,
+                        telemetry::EventTotals& totals);
+  void Sample(std::size_t index, const telemetry::EventTotals& totals,
+              TimePoint now);
+
+  std::vector<settings::Indicator> indicators_;
+  std::mutex mutex_;
+  std::vector<telemetry::BurnTracker> trackers_;
+};
+
+}  // namespace cowslip::daemon
--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include "burn_board.h"
 #include "cowslip/daemon/announcer.h"
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
@@ -83,17 +84,18 @@
   const auto control = ControlThread::Start(settings.store, views, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
-  metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(
-      std::vector<const SidecarLoop*>{loop.get()}));
-  const auto face = HttpFace::Start(
-      settings.http, MakeInstancePages(settings, *control, metrics), reason);
+  const std::vector<const SidecarLoop*> readable{loop.get()};
+  metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(readable));
+  BurnBoard board(settings.objectives);
+  auto pages = MakeInstancePages(settings, *control, metrics);
+  board.AddPages(settings.instance, pages);
+  const auto face = HttpFace::Start(settings.http, pages, reason);
   if (face == nullptr) return false;
   const TrafficThread thread(*loop);
   Log(Level::kInfo, "sidecar_started",
       {{"incarnation", Raw(*incarnation)},
        {"frames", ToString(settings.sidecar->frames)}});
-  constexpr std::chrono::hours kForever{24 * 365};
-  stop.WaitFor(kForever);
+  board.SampleUntilStopped(stop, readable);
   Log(Level::kInfo, "sidecar_draining", {{"flows", loop->remaining()}});
   Drain(*announcer, *loop, settings, stop);
   Log(Level::kInfo, "sidecar_stopped", {{"flows_left", loop->remaining()}});
--- a/packages/settings/include/cowslip/settings/daemon_settings.h
+++ b/packages/settings/include/cowslip/settings/daemon_settings.h
@@ -19,9 +19,17 @@
   bool timestamps = true;
 };
 
+/// Which events an objective counts as good and bad.
+enum class Indicator : std::uint8_t {
+  kDatagrams,  ///< Balancer: callers' datagrams sent on, and dropped.
+  kRequests,   ///< Sidecar: requests run, and those told not run or unknown.
+  kFlows,      ///< Sidecar: new flows adopted, and refused.
+};
+
 /// A promised share of good events, reported as burn of its error budget.
 struct ObjectiveSettings {
   std::string name;
+  Indicator indicator = Indicator::kDatagrams;
   double target = 0.999;
 };
 
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -107,8 +107,12 @@
   std::size_t index = 0;
   for (const auto& node : reader.List("objectives", false)) {
     auto element = reader.Element(node, "objectives", index++);
-    objectives.push_back({element.Text("name"),
-                          element.Real("target", {kMinTarget, kMaxTarget})});
+    ObjectiveSettings objective;
+    objective.name = element.Text("name");
+    objective.indicator = static_cast<Indicator>(
+        element.Choice("indicator", {"datagrams", "requests", "flows"}));
+    objective.target = element.Real("target", {kMinTarget, kMaxTarget});
+    objectives.push_back(std::move(objective));
     element.Finish();
   }
   return objectives;
