--- /dev/null
+++ b/tests/support/feed_fixture.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cowslip/coap.h"
+#include "support/virtual_network.h"
+
+namespace cowslip::testing {
+
+/// A CoAP service with feeds: upstreams that notify their observers, and
+/// callers that observe. A feed's value is the time, so that any upstream can
+/// continue it.
+class FeedFixture {
+ public:
+  static constexpr ServiceId kService{1};
+  static constexpr Endpoint kAddress{0x7f350001, 5683};
+
+  explicit FeedFixture(std::uint64_t seed, std::uint32_t balancers = 3,
+                       std::uint32_t upstreams = 2);
+
+  static FlowKey Flow(std::uint32_t caller) {
+    return {{0x0a000000 + caller, 40000}, kAddress};
+  }
+  static engine::SidecarOptions Options(std::uint32_t id,
+                                        std::uint64_t incarnation = 1);
+  /// Observes through one balancer; repeat it until notifications arrive.
+  void Observe(std::uint32_t caller, const Endpoint& balancer);
+  /// Notifies all observers every interval until the network ends.
+  void NotifyEvery(Duration interval, coap::Type type);
+  /// @return the upstreams that hold a feed of the caller.
+  std::vector<UpstreamId> Owners(std::uint32_t caller) const;
+  Endpoint AnyBalancer();
+
+  /// What a caller saw of its feed.
+  struct Feed {
+    TimePoint last{};
+    Duration longest_gap{};
+    std::uint32_t last_observe = 0;
+    std::uint64_t notifications = 0;
+    std::uint64_t stale = 0;
+    std::uint64_t foreign = 0;
+    std::set<std::uint64_t> values;
+  };
+  std::map<std::uint32_t, Feed> feeds;
+  VirtualNetwork network;
+  /// The caller acknowledges confirmable notifications; otherwise it is mute.
+  bool acknowledges = true;
+  std::uint64_t value = 0;  ///< Of the feed now.
+  std::uint64_t acks_at_upstreams = 0;
+  std::uint64_t foreign_acks = 0;  ///< With a message id never sent there.
+
+ private:
+  struct Observation {
+    flow::FlowSlot slot{};
+    Bytes token;
+    std::uint32_t observe = 0;
+    std::uint16_t message_id = 0;
+  };
+  void OnUpstream(UpstreamId id, flow::FlowSlot slot, ByteView payload);
+  void OnCaller(const FlowKey& flow, ByteView payload);
+  void Notify(Duration interval, coap::Type type);
+
+  std::map<UpstreamId, std::map<flow::FlowSlot, Observation>> observations_;
+};
+
+}  // namespace cowslip::testing
