Replies survive a balancer that dies, freezes or leaves

Cause: a sidecar sent replies to the balancer of the caller's latest datagram and never learnt that it had gone, so the feed of a quiet caller stopped until the caller spoke again.

Now a sidecar keeps a table of the balancers it has heard; confirmable replies and notifications ask for kReplyAck and, without one within 100 ms, take the balancer with the fewest unanswered replies. kBalancerLeaving moves replies at once. Balancers greet each incarnation of a sidecar with probes, so that a sidecar knows them all before any caller data.

Ruled out: gossip of balancers among sidecars (more state, no sooner), acks for all replies (doubles the frames of opaque services; one per 100 ms suffices to find a silent balancer).

--- a/packages/daemon/src/balancer_loop.cc
+++ b/packages/daemon/src/balancer_loop.cc
@@ -111,6 +111,8 @@
         ReadCallers(*entries_by_tag_.at(tag), now);
       }
     }
+    balancer_.OnTick(now, effects_);
+    CarryOut();
   }
 }
 
--- a/packages/engine/include/cowslip/engine/balancer.h
+++ b/packages/engine/include/cowslip/engine/balancer.h
@@ -7,6 +7,7 @@
 #include "cowslip/engine/balancer_effects.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/greetings.h"
 #include "cowslip/flow.h"
 #include "cowslip/link.h"
 #include "cowslip/membership.h"
@@ -38,11 +39,13 @@
                                         LastReason<EngineError>& reason);
 
   /// Replaces the view; services and upstreams may have changed.
-  void OnView(membership::ViewPtr view) { view_ = std::move(view); }
+  void OnView(membership::ViewPtr view);
   void OnCallerDatagram(const CallerDatagram& datagram, TimePoint now,
                         BalancerEffects& effects);
   void OnFrame(const link::Frame& frame, const Endpoint& from, TimePoint now,
                BalancerEffects& effects);
+  /// Greets sidecars that are new. Call it every 10 to 100 ms.
+  void OnTick(TimePoint now, BalancerEffects& effects);
   /// Tells every sidecar that replies should take another balancer.
   void StartDrain(BalancerEffects& effects);
 
@@ -67,6 +70,7 @@
   membership::ViewPtr view_;
   flow::HintCache hints_;
   flow::ContactTable contacts_;
+  Greetings greetings_;
   std::unique_ptr<Counters> counters_;
 };
 
--- a/packages/engine/include/cowslip/engine/counters.h
+++ b/packages/engine/include/cowslip/engine/counters.h
@@ -35,6 +35,7 @@
   kRepliesRetried,
   kHandoversSent,
   kHandoversTaken,
+  kRepliesNotKept,
   kCount,
 };
 
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,6 +9,7 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/run_table.h"
 #include "cowslip/engine/sidecar_effects.h"
 #include "cowslip/flow.h"
@@ -56,6 +57,7 @@
 
   bool draining() const { return draining_; }
   std::size_t flow_count() const { return flows_.size(); }
+  std::size_t known_balancers() const { return replies_.known_balancers(); }
   std::size_t runs_in_progress() const { return runs_.size(); }
   const Counters& counters() const { return *counters_; }
 
@@ -111,6 +113,8 @@
   // Frames: sidecar_frames.cc.
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
   void Reply(flow::FlowSlot slot, ByteView payload, SidecarEffects& effects);
+  void SendReply(flow::FlowSlot slot, ByteView payload, bool matters,
+                 SidecarEffects& effects);
   void ReplyMessage(flow::FlowSlot slot, const coap::Message& message,
                     SidecarEffects& effects);
   Duration IdleTimeout() const;
@@ -128,6 +132,8 @@
   RunTable runs_;
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
+  ReplyPath replies_;
+  TimePoint now_{};  ///< Of the latest event.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/balancer.cc
+++ b/packages/engine/src/balancer.cc
@@ -21,6 +21,20 @@
       contacts_(options.silence),
       counters_(std::make_unique<Counters>()) {}
 
+void Balancer::OnView(membership::ViewPtr view) {
+  view_ = std::move(view);
+  greetings_.OnView(*view_);
+}
+
+void Balancer::OnTick(TimePoint now, BalancerEffects& effects) {
+  if (view_ == nullptr) return;
+  greetings_.Due(*view_, now, [&](const auto& service, const auto& upstream) {
+    counters_->Add(Counter::kProbesSent);
+    effects.frames.push_back(
+        {upstream.sidecar, MakeHeader(FrameKind::kProbe, service), {}});
+  });
+}
+
 FrameHeader Balancer::MakeHeader(FrameKind kind,
                                  const ServiceView& service) const {
   FrameHeader header;
@@ -94,6 +108,7 @@
       return;
     case FrameKind::kProbeAck:
       contacts_.OnHeard(UpstreamId(header.sender), now);
+      greetings_.OnHeard(UpstreamId(header.sender));
       return;
     default:
       return;
--- /dev/null
+++ b/packages/engine/src/balancer_table.cc
@@ -0,0 +1,67 @@
+#include "cowslip/engine/balancer_table.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace cowslip::engine {
+
+BalancerTable::Entry* BalancerTable::Find(const Endpoint& balancer) {
+  const auto found =
+      std::find_if(entries_.begin(), entries_.end(),
+                   [&](const auto& e) { return e.balancer == balancer; });
+  return found == entries_.end() ? nullptr : &*found;
+}
+
+BalancerTable::Entry& BalancerTable::Add(const Endpoint& balancer,
+                                         TimePoint now) {
+  if (entries_.size() < kCapacity) {
+    return entries_.emplace_back(Entry{.balancer = balancer, .heard = now});
+  }
+  auto& oldest = *std::min_element(
+      entries_.begin(), entries_.end(),
+      [](const auto& a, const auto& b) { return a.heard < b.heard; });
+  oldest = Entry{.balancer = balancer, .heard = now};
+  return oldest;
+}
+
+void BalancerTable::OnHeard(const Endpoint& balancer, TimePoint now) {
+  auto* entry = Find(balancer);
+  if (entry == nullptr) entry = &Add(balancer, now);
+  entry->heard = now;
+  entry->unanswered = 0;
+}
+
+void BalancerTable::Learn(const Endpoint& balancer, TimePoint now) {
+  if (balancer == Endpoint{} || Find(balancer) != nullptr) return;
+  Add(balancer, now);
+}
+
+void BalancerTable::OnLeaving(const Endpoint& balancer, TimePoint now) {
+  if (auto* entry = Find(balancer)) entry->leaving_until = now + kLeaveTime;
+}
+
+void BalancerTable::MarkSilent(const Endpoint& balancer) {
+  if (auto* entry = Find(balancer)) ++entry->unanswered;
+}
+
+Endpoint BalancerTable::Choose(const Endpoint& preferred, TimePoint now) const {
+  const Entry* best = nullptr;
+  const auto rank = [&](const Entry& entry) {
+    return std::tuple(entry.leaving_until <= now, -entry.unanswered,
+                      entry.balancer == preferred, entry.heard);
+  };
+  for (const auto& entry : entries_) {
+    if (best == nullptr || rank(entry) > rank(*best)) best = &entry;
+  }
+  return best == nullptr ? preferred : best->balancer;
+}
+
+bool BalancerTable::TakeConfirmation(const Endpoint& balancer, TimePoint now) {
+  auto* entry = Find(balancer);
+  if (entry == nullptr || now - entry->heard < kConfirmAfter) return false;
+  if (now - entry->asked < kConfirmAfter) return false;
+  entry->asked = now;
+  return true;
+}
+
+}  // namespace cowslip::engine
--- a/packages/engine/src/counters.cc
+++ b/packages/engine/src/counters.cc
@@ -32,6 +32,7 @@
         "replies_retried",
         "handovers_sent",
         "handovers_taken",
+        "replies_not_kept",
     };
 
 }  // namespace
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -1,3 +1,4 @@
+#include "coap_peek.h"
 #include "cowslip/engine/sidecar.h"
 
 namespace cowslip::engine {
@@ -24,10 +25,12 @@
       admission_({options.slots, 0, options.slow_start}, options.started),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
-      counters_(std::make_unique<Counters>()) {}
+      counters_(std::make_unique<Counters>()),
+      replies_(*counters_) {}
 
-void Sidecar::OnView(membership::ViewPtr view, TimePoint,
+void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
+  now_ = now;
   view_ = std::move(view);
   const auto* before = service_;
   service_ = view_->Find(options_.service);
@@ -60,12 +63,19 @@
 
 void Sidecar::Reply(flow::FlowSlot slot, ByteView payload,
                     SidecarEffects& effects) {
+  const bool matters = service_->service.protocol == ticket::Protocol::kCoap &&
+                       IsConfirmable(payload);
+  SendReply(slot, payload, matters, effects);
+}
+
+void Sidecar::SendReply(flow::FlowSlot slot, ByteView payload, bool matters,
+                        SidecarEffects& effects) {
   const auto& flow = flows_.At(slot);
   auto header = MakeHeader(FrameKind::kReply);
   header.flow = flow.key;
   if (flow.guest) header.flags |= link::kFlagGuest;
   counters_->Add(Counter::kRepliesSent);
-  effects.frames.push_back({flow.balancer, header, payload});
+  replies_.Send(header, payload, flow.balancer, matters, now_, effects);
 }
 
 void Sidecar::ReplyMessage(flow::FlowSlot slot, const coap::Message& message,
@@ -78,6 +88,8 @@
 void Sidecar::OnFrame(const link::Frame& frame, const Endpoint& from,
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
+  now_ = now;
+  replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
   }
@@ -96,13 +108,21 @@
       effects.frames.push_back({from, answer, {}});
       return;
     }
+    case FrameKind::kReplyAck:
+      replies_.OnAck(header);
+      return;
+    case FrameKind::kBalancerLeaving:
+      replies_.OnLeaving(header.balancer, now, effects);
+      return;
     default:
       return;
   }
 }
 
 void Sidecar::OnUpstreamDatagram(flow::FlowSlot slot, ByteView payload,
-                                 TimePoint, SidecarEffects& effects) {
+                                 TimePoint now, SidecarEffects& effects) {
+  now_ = now;
+  bool matters = false;
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
     LastReason<coap::CoapError> reason;
@@ -111,6 +131,8 @@
       counters_->Add(Counter::kDropMalformed);
       return;
     }
+    matters = message->type == coap::Type::kCon ||
+              message->Find(coap::OptionNumber::kObserve) != nullptr;
     if (message->IsResponse()) {
       const auto run = runs_.Take(slot, message->token);
       if (run) {
@@ -119,10 +141,12 @@
       }
     }
   }
-  Reply(slot, payload, effects);
+  SendReply(slot, payload, matters, effects);
 }
 
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
+  now_ = now;
+  replies_.Expire(now, effects);
   if (service_ == nullptr) return;
   ExpireRuns(now, effects);
   ExpireFlows(now, effects);
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -140,8 +140,9 @@
   }
 }
 
-void Sidecar::OnUpstreamRefused(flow::FlowSlot slot, TimePoint,
+void Sidecar::OnUpstreamRefused(flow::FlowSlot slot, TimePoint now,
                                 SidecarEffects& effects) {
+  now_ = now;
   if (flows_.Holds(slot)) FailRuns(slot, effects);
 }
 
--- a/tests/support/feed_fixture.cc
+++ b/tests/support/feed_fixture.cc
@@ -139,6 +139,8 @@
     ack.message_id = message->message_id;
     network.SendFromCaller(AnyBalancer(), flow, Wire(ack));
   }
+  const std::string text(message->payload.begin(), message->payload.end());
+  if (!text.empty()) feed.values.insert(std::stoull(text));
   const auto observe = message->FindUint(OptionNumber::kObserve).value_or(0);
   if (observe <= feed.last_observe) {
     ++feed.stale;
@@ -148,8 +150,6 @@
   feed.longest_gap = std::max(feed.longest_gap, network.now() - feed.last);
   feed.last = network.now();
   ++feed.notifications;
-  const std::string text(message->payload.begin(), message->payload.end());
-  if (!text.empty()) feed.values.insert(std::stoull(text));
 }
 
 std::vector<UpstreamId> FeedFixture::Owners(std::uint32_t caller) const {
--- a/tests/support/feed_fixture.h
+++ b/tests/support/feed_fixture.h
@@ -43,7 +43,7 @@
     std::uint64_t notifications = 0;
     std::uint64_t stale = 0;
     std::uint64_t foreign = 0;
-    std::set<std::uint64_t> values;
+    std::set<std::uint64_t> values;  ///< Received, also when overtaken.
   };
   std::map<std::uint32_t, Feed> feeds;
   VirtualNetwork network;
--- a/tests/support/virtual_network.cc
+++ b/tests/support/virtual_network.cc
@@ -20,7 +20,7 @@
          Draw(kSteps) < static_cast<std::uint64_t>(probability * kSteps);
 }
 
-void VirtualNetwork::Start(const Endpoint& at, ProcessPtr process) {
+void VirtualNetwork::Start(const Endpoint& at, const ProcessPtr& process) {
   Kill(at);
   processes_[at] = process;
   Tick(at, process);
@@ -251,6 +251,10 @@
     WithSidecar(process->id, [&](auto& sidecar, auto& effects) {
       sidecar.OnTick(now_, effects);
     });
+  } else if (!process->frozen) {
+    WithBalancer(at, [&](auto& balancer, auto& effects) {
+      balancer.OnTick(now_, effects);
+    });
   }
   After(tick, [this, at, process] { Tick(at, process); });
 }
--- a/tests/support/virtual_network.h
+++ b/tests/support/virtual_network.h
@@ -117,7 +117,7 @@
   };
   using ProcessPtr = std::shared_ptr<Process>;
 
-  void Start(const Endpoint& at, ProcessPtr process);
+  void Start(const Endpoint& at, const ProcessPtr& process);
   membership::ViewPtr BuildView();
   void Deliver(const Endpoint& to, const membership::ViewPtr& view);
   void Deliver(const QueuedFrame& queued);
