Harness of the process tests; deployments of several sites side by side

Each test program claims a free site, the third octet of all its addresses; scripts take SITE (200 to 254). The store stand-in knows a caller by its X-Consul-Token, so that one process alone can be cut off by its deny fault.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -2,19 +2,20 @@
 # services with two upstreams each. Sourced by demo.sh and the process tests.
 #
 # Each process has loopback addresses of its own, so that no two share a port.
-# BASE_PORT moves the ports that stay on 127.0.0.1.
+# SITE (200 to 254) is the third octet of all of them, so that several
+# deployments run side by side; the process tests use the sites below 200.
 
 bin="${BIN_DIR:-$PWD/build/bin}"
-base_port="${BASE_PORT:-21000}"
+site="${SITE:-200}"
 work="$(mktemp -d)"
 declare -A pids
 
-custody=127.53.0.1:5683
-dossier=127.53.0.2:5683
-vault=127.53.0.3:5683
-beacon=127.53.0.4:9000
-store="127.0.0.1:$base_port"
-fabric_control="127.0.0.1:$((base_port + 1))"
+custody="127.53.$site.1:5683"
+dossier="127.53.$site.2:5683"
+vault="127.53.$site.3:5683"
+beacon="127.53.$site.4:9000"
+store="127.40.$site.1:8500"
+fabric_control="127.40.$site.2:8600"
 frame_key=00112233445566778899aabbccddeeff
 
 stop_deployment() {
@@ -37,14 +38,14 @@
 ctl() { "$bin/cowslipctl" "$@" --settings "$work/ctl.yaml"; }
 caller() { "$bin/standin-caller" "$@"; }
 
-write_common() {  # NAME HTTP_PORT CONTROL_PORT
+write_common() {  # NAME ADDRESS
   cat <<YAML
 instance: $1
 data_center: callao
 store: {urls: ["http://$store"], timeout: 1s}
 frame_key: $frame_key
-http: 127.0.0.1:$2
-control: 127.0.0.1:$3
+http: $2:8080
+control: $2:7001
 drain_timeout: 10s
 YAML
 }
@@ -52,8 +53,8 @@
 start_balancer() {  # NUMBER
   local i=$1
   {
-    write_common "balancer-$i" $((base_port + 100 + i)) $((base_port + 200 + i))
-    echo "balancer: {id: $i, frames: 127.20.0.$i:7000, entry_prefix: 127.$((100 + i)).0.0}"
+    write_common "balancer-$i" "127.20.$site.$i"
+    echo "balancer: {id: $i, frames: 127.20.$site.$i:7000, entry_prefix: 127.$((100 + i)).0.0}"
   } >"$work/balancer-$i.yaml"
   run "balancer-$i" "$bin/cowslipd" balancer --settings "$work/balancer-$i.yaml"
 }
@@ -61,17 +62,16 @@
 start_upstream() {  # SERVICE NUMBER PROTOCOL [options of the stand-in]
   local service=$1 i=$2 protocol=$3
   shift 3
-  run "upstream-$service$i" "$bin/standin-upstream" --listen "127.30.$service.$i:6000" \
+  run "upstream-$service$i" "$bin/standin-upstream" --listen "127.30.$site.$service$i:6000" \
     --protocol "$protocol" --name "upstream-$service$i" --slots 7 \
     --journal "$work/journal" "$@"
 }
 
 start_sidecar() {  # SERVICE NUMBER
   local service=$1 i=$2
-  local port=$((10 * service + i))
   {
-    write_common "sidecar-$service$i" $((base_port + 300 + port)) $((base_port + 500 + port))
-    echo "sidecar: {id: $service$i, service: $service, frames: 127.21.$service.$i:7000, upstream: 127.30.$service.$i:6000, slots: 7}"
+    write_common "sidecar-$service$i" "127.21.$site.$service$i"
+    echo "sidecar: {id: $service$i, service: $service, frames: 127.21.$site.$service$i:7000, upstream: 127.30.$site.$service$i:6000, slots: 7}"
   } >"$work/sidecar-$service$i.yaml"
   run "sidecar-$service$i" "$bin/cowslipd" sidecar --settings "$work/sidecar-$service$i.yaml"
 }
@@ -102,7 +102,7 @@
     echo "instances:"
     local i
     for i in 1 2 3; do
-      echo "  - {name: balancer-$i, http: \"127.0.0.1:$((base_port + 100 + i))\"}"
+      echo "  - {name: balancer-$i, http: \"127.20.$site.$i:8080\"}"
     done
   } >"$work/ctl.yaml"
 }
--- a/standins/common/http_request.h
+++ b/standins/common/http_request.h
@@ -15,7 +15,7 @@
   /// Query parameters, percent-decoded; the value is empty if there is none.
   std::map<std::string, std::string> parameters;
   std::string body;
-  /// Numeric address of the peer.
+  /// X-Consul-Token of the peer, or its numeric address if it sent none.
   std::string source;
 
   bool Has(const std::string& name) const {
--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -53,7 +53,8 @@
   HttpRequest request;
   request.method = info->request_method;
   request.path = info->local_uri;
-  request.source = info->remote_addr;
+  const char* token = mg_get_header(connection, "X-Consul-Token");
+  request.source = token != nullptr ? token : info->remote_addr;
   if (info->query_string != nullptr) {
     ParseQuery(info->query_string, request.parameters);
   }
--- /dev/null
+++ b/tests/process/child_process.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <boost/process/child.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cowslip::testing {
+
+/// A process that ends with its owner.
+class ChildProcess {
+ public:
+  /// Starts a program; throws boost::process::process_error if that fails.
+  /// @param command path of the program and its arguments.
+  /// @param output file that its output and errors are appended to.
+  static std::unique_ptr<ChildProcess> Start(
+      const std::vector<std::string>& command, const std::string& output);
+  ~ChildProcess();
+  ChildProcess(const ChildProcess&) = delete;
+  ChildProcess& operator=(const ChildProcess&) = delete;
+
+  bool IsRunning();
+  /// Sends a signal unless the process has ended.
+  void Signal(int signal);
+  /// @return the exit code (128 and the signal's number if a signal ended it),
+  /// std::nullopt if it still runs after the limit.
+  std::optional<int> WaitForExit(std::chrono::milliseconds limit);
+
+ private:
+  explicit ChildProcess(boost::process::child child)
+      : child_(std::move(child)) {}
+
+  boost::process::child child_;
+};
+
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/deployment.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "tests/process/caller.h"
+#include "tests/process/child_process.h"
+#include "tests/process/deployment_options.h"
+#include "tests/process/files.h"
+#include "tests/process/site.h"
+
+namespace cowslip::testing {
+
+/// A run that an upstream started, from its journal.
+struct JournalEntry {
+  std::string upstream;
+  std::string claim;
+};
+
+/// Limit of everything that has to happen eventually.
+inline constexpr std::chrono::seconds kEventually{20};
+
+/// Polls until a condition holds.
+/// @return whether it held within the limit.
+bool Eventually(const std::function<bool()>& condition,
+                std::chrono::milliseconds limit = kEventually);
+
+/// Store, fabric, balancers, upstreams and sidecars on addresses of a site of
+/// its own. Names: store, fabric, balancer-N, upstream-SN and sidecar-SN for
+/// instance N of service S. All of them end with it.
+class Deployment {
+ public:
+  explicit Deployment(const DeploymentOptions& options);
+
+  /// Starts everything, submits ticket 1 and waits until each service answers.
+  /// @return whether it does.
+  bool Start();
+
+  // Processes, by name.
+  void Kill(const std::string& name);
+  void Stop(const std::string& name);
+  void Continue(const std::string& name);
+  void Terminate(const std::string& name);
+  /// Starts an ended process again with the same command.
+  void Restart(const std::string& name);
+  ChildProcess& Process(const std::string& name) {
+    return *processes_.at(name);
+  }
+  std::string Log(const std::string& name) const {
+    return ReadFile(directory_.File(name + ".log"));
+  }
+  void StartBalancer(int id);
+  /// Starts an upstream and its sidecar.
+  void StartUpstream(const ServiceOptions& service, int number);
+
+  // Control faces.
+  /// @param query such as "loss=0.05&reorder_ms=200".
+  bool SetFabricFaults(const std::string& query);
+  /// Adds a balancer to those that the fabric sprays, or takes it away.
+  bool SetSprayed(int balancer, bool on);
+  /// @param fault such as "down?on=1".
+  bool SetStoreFault(const std::string& fault);
+  /// Cuts a balancer or sidecar from the store, or lets it in again.
+  bool SetCutFromStore(const std::string& name, bool on);
+
+  // Tickets.
+  /// @return the exit code of cowslipctl.
+  int SubmitTicket(int number, const std::vector<ServiceOptions>& services);
+  int RunCtl(std::vector<std::string> arguments);
+  /// @return the ticket in force at a balancer or sidecar, -1 if it does not
+  /// answer.
+  int TicketAt(const std::string& name) const;
+  bool WaitForTicket(int number, const std::vector<std::string>& names) const;
+
+  // Callers.
+  std::string Vip(int number) const { return site_.Vip(number); }
+  /// @param arguments of standin-caller.
+  Caller StartCaller(const std::vector<std::string>& arguments);
+  CallerResult RunCaller(const std::vector<std::string>& arguments);
+  /// All runs that upstreams have started.
+  std::vector<JournalEntry> Journal() const;
+  const Site& site() const { return site_; }
+  std::string File(const std::string& name) const {
+    return directory_.File(name);
+  }
+
+ private:
+  void Run(const std::string& name, const std::vector<std::string>& command);
+  void WriteDaemonSettings(const std::string& name, const std::string& http,
+                           const std::string& control,
+                           const std::string& section);
+  std::string HttpOf(const std::string& name) const;
+  std::vector<std::string> FabricCommand() const;
+
+  DeploymentOptions options_;
+  Site site_;
+  TemporaryDirectory directory_;
+  std::map<std::string, std::vector<std::string>> commands_;
+  std::vector<std::string> upstreams_;
+  int callers_ = 0;
+  /// Declared last: processes end before the rest.
+  std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
+};
+
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/deployment_options.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace cowslip::testing {
+
+/// One service of a ticket.
+struct ServiceOptions {
+  int id = 1;
+  /// Number of the VIP of the site.
+  int vip = 1;
+  std::string protocol = "coap";
+  std::string prefer = "continuity";
+  std::string idle_timeout = "60s";
+  std::string request_timeout = "20s";
+};
+
+/// Shape of a deployment.
+struct DeploymentOptions {
+  /// Seed of the fabric's random choices.
+  std::uint64_t seed = 1;
+  int balancers = 3;
+  int upstreams_per_service = 2;
+  int slots = 7;
+  std::string drain_timeout = "10s";
+  /// Services of ticket 1; sidecar and upstream n of service s have the id
+  /// 10 * s + n.
+  std::vector<ServiceOptions> services{{}};
+  /// Further options of each standin-upstream, such as --service-ms.
+  std::vector<std::string> upstream_arguments;
+};
+
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/settings_text.cc
@@ -0,0 +1,44 @@
+#include "tests/process/settings_text.h"
+
+namespace cowslip::testing {
+
+std::string CtlSettingsText(const Site& site) {
+  return "store: {urls: [\"http://" + site.Store() +
+         "\"], timeout: 1s}\n"
+         "instances: [{name: balancer-1, http: \"" +
+         site.BalancerHttp(1) + "\"}]\n";
+}
+
+std::string DaemonSettingsText(const Site& site, const std::string& name,
+                               const std::string& http,
+                               const std::string& control,
+                               const std::string& drain_timeout) {
+  // The token names the process to the store, whose faults go by it.
+  return "instance: " + name +
+         "\n"
+         "data_center: callao\n"
+         "store: {urls: [\"http://" +
+         site.Store() + "\"], timeout: 1s, token: " + name +
+         "}\n"
+         "frame_key: 00112233445566778899aabbccddeeff\n"
+         "http: " +
+         http + "\ncontrol: " + control + "\ndrain_timeout: " + drain_timeout +
+         "\n";
+}
+
+std::string TicketText(const Site& site, int number,
+                       const std::vector<ServiceOptions>& services) {
+  auto text =
+      "ticket: " + std::to_string(number) + "\nauthor: quispe\nservices:\n";
+  for (const auto& service : services) {
+    const auto id = std::to_string(service.id);
+    text += "  - {id: " + id + ", name: service-" + id + ", address: \"" +
+            site.Vip(service.vip) + "\", protocol: " + service.protocol +
+            ", prefer: " + service.prefer +
+            ", idle_timeout: " + service.idle_timeout +
+            ", request_timeout: " + service.request_timeout + "}\n";
+  }
+  return text;
+}
+
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/settings_text.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "tests/process/deployment_options.h"
+#include "tests/process/site.h"
+
+namespace cowslip::testing {
+
+std::string CtlSettingsText(const Site& site);
+/// @return the settings of a daemon without the section of its role.
+std::string DaemonSettingsText(const Site& site, const std::string& name,
+                               const std::string& http,
+                               const std::string& control,
+                               const std::string& drain_timeout);
+std::string TicketText(const Site& site, int number,
+                       const std::vector<ServiceOptions>& services);
+
+}  // namespace cowslip::testing
