--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -19,13 +19,18 @@
                       coap_new_optlist(number, value.size(), ToBytes(value)));
 }
 
-void AddPath(coap_optlist_t*& list, std::string_view path) {
+/// @param target path, and a query after a question mark.
+void AddTarget(coap_optlist_t*& list, std::string_view target) {
+  const auto mark = std::min(target.find('?'), target.size());
+  auto path = target.substr(0, mark);
   while (!path.empty()) {
     const auto end = std::min(path.find('/'), path.size());
     const auto segment = path.substr(0, std::min(end, kSegmentBytes));
     if (!segment.empty()) AddOption(list, COAP_OPTION_URI_PATH, segment);
     path.remove_prefix(std::min(end + 1, path.size()));
   }
+  if (mark == target.size()) return;
+  AddOption(list, COAP_OPTION_URI_QUERY, target.substr(mark + 1));
 }
 
 std::string CodeText(coap_pdu_code_t code) {
@@ -109,6 +114,14 @@
   return client;
 }
 
+void CoapClient::SetAckTimeout(milliseconds timeout) {
+  const auto seconds = timeout.count() / 1000;
+  const auto thousandths = timeout.count() % 1000;
+  coap_session_set_ack_timeout(session_.get(),
+                               {static_cast<std::uint16_t>(seconds),
+                                static_cast<std::uint16_t>(thousandths)});
+}
+
 bool CoapClient::Send(const CoapRequest& request) {
   coap_session_t* session = session_.get();
   coap_pdu_t* pdu = coap_new_pdu(COAP_MESSAGE_CON, request.method, session);
@@ -119,7 +132,7 @@
   coap_add_token(pdu, token_size, token.data());
   coap_optlist_t* options = nullptr;
   if (request.observe) AddOption(options, COAP_OPTION_OBSERVE, {});
-  AddPath(options, request.path);
+  AddTarget(options, request.path);
   coap_add_optlist_pdu(pdu, &options);
   const CoapOptionList owner(options);
   if (!request.payload.empty()) {
--- a/standins/caller/coap_client.h
+++ b/standins/caller/coap_client.h
@@ -39,6 +39,8 @@
   CoapClient(const CoapClient&) = delete;
   CoapClient& operator=(const CoapClient&) = delete;
 
+  /// Time before the first retransmission (ACK_TIMEOUT of RFC 7252).
+  void SetAckTimeout(std::chrono::milliseconds timeout);
   /// Sends a confirmable request.
   bool Send(const CoapRequest& request);
   /// Sends a confirmable request and waits for its final response.
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -30,6 +30,9 @@
   --out FILE       Receives the notifications instead of the standard output.
   --timeout-s N    Limit of one exchange [default: 30].
   --local ADDRESS  Address and port to send from.
+  --ack-timeout-ms N  Time before the first retransmission [default: 2000].
+
+PATH may have a query, as in /feed?name.
 
 Exit codes: 0 the whole answer came, 3 timeout, 4 CoAP error response.
 )";
@@ -48,6 +51,7 @@
   auto client = CoapClient::Create(arguments.Address("ADDRESS"),
                                    Local(arguments), reason);
   if (!client) Fail(reason.Message());
+  client->SetAckTimeout(arguments.Milliseconds("--ack-timeout-ms"));
   return client;
 }
 
--- a/standins/caller/observer.cc
+++ b/standins/caller/observer.cc
@@ -20,6 +20,7 @@
   }
   if (response.observe && !order_.Accept(*response.observe, now)) {
     ++stale_;
+    out_ << "stale=\"" << response.payload << "\"" << std::endl;
     return;
   }
   EndGap(now);
--- a/standins/fabric/control_face.cc
+++ b/standins/fabric/control_face.cc
@@ -60,6 +60,7 @@
   const bool is_valid = Read(request, "loss", faults.loss) &&
                         Read(request, "duplicate", faults.duplicate) &&
                         Read(request, "reorder_ms", faults.reorder) &&
+                        Read(request, "reorder_share", faults.reorder_share) &&
                         Read(request, "delay_ms", faults.delay);
   if (is_valid) state_.SetFaults(faults);
   return is_valid;
--- a/standins/fabric/fault_injector.cc
+++ b/standins/fabric/fault_injector.cc
@@ -12,6 +12,9 @@
   Duration delay = settings.delay;
   const Duration reorder = settings.reorder;
   if (reorder <= Duration::zero()) return delay;
+  const bool is_reordered =
+      settings.reorder_share >= 1.0 || Happens(settings.reorder_share);
+  if (!is_reordered) return delay;
   return delay + Duration(std::uniform_int_distribution<Duration::rep>(
                      0, reorder.count())(random_));
 }
--- a/standins/fabric/fault_settings.h
+++ b/standins/fabric/fault_settings.h
@@ -10,8 +10,10 @@
   double loss = 0.0;
   /// Probability of delivering a datagram twice.
   double duplicate = 0.0;
-  /// Upper limit of a uniform random delay of each delivery.
+  /// Upper limit of a uniform random delay of a reordered delivery.
   std::chrono::milliseconds reorder{0};
+  /// Probability of reordering a delivery.
+  double reorder_share = 1.0;
   /// Constant delay of each delivery.
   std::chrono::milliseconds delay{0};
 };
--- a/standins/fabric/main.cc
+++ b/standins/fabric/main.cc
@@ -22,6 +22,7 @@
   --loss P            Probability of losing a datagram [default: 0].
   --duplicate P       Probability of delivering a datagram twice [default: 0].
   --reorder-ms N      Upper limit of the random delay [default: 0].
+  --reorder-share P   Probability of the random delay [default: 1].
   --delay-ms N        Constant delay [default: 0].
   --control ADDRESS   Address and port of the control face.
 )";
@@ -49,6 +50,7 @@
 FaultSettings Faults(const Arguments& arguments) {
   return {arguments.Probability("--loss"), arguments.Probability("--duplicate"),
           arguments.Milliseconds("--reorder-ms"),
+          arguments.Probability("--reorder-share"),
           arguments.Milliseconds("--delay-ms")};
 }
 
--- a/standins/upstream/coap_service.cc
+++ b/standins/upstream/coap_service.cc
@@ -33,6 +33,16 @@
 
 using DocumentReference = std::shared_ptr<const Document>;
 
+std::string ToText(const coap_string_t* text) {
+  if (text == nullptr) return {};
+  return {reinterpret_cast<const char*>(text->s), text->length};
+}
+
+/// @return " query", empty without a query.
+std::string Suffix(const coap_string_t* query) {
+  return query == nullptr ? "" : " " + ToText(query);
+}
+
 void ReleaseDocument(coap_session_t*, void* reference) {
   delete static_cast<DocumentReference*>(reference);
 }
@@ -107,24 +117,27 @@
 void CoapService::NotifyFeed(TimePoint now) {
   if (now < next_feed_) return;
   next_feed_ = std::max(next_feed_ + options_.feed_interval, now);
-  ++feed_value_;
   coap_resource_notify_observers(feed_, nullptr);
 }
 
+std::uint64_t CoapService::FeedValue() const {
+  return Clock::now().time_since_epoch() / options_.feed_interval;
+}
+
 void CoapService::GetInfo(coap_resource_t* resource, coap_session_t*,
-                          const coap_pdu_t*, const coap_string_t*,
+                          const coap_pdu_t*, const coap_string_t* query,
                           coap_pdu_t* response) {
   const auto& options = ServiceOf(resource).options_;
   Answer(response, COAP_RESPONSE_CODE_CONTENT,
-         options.name + " " + options.service);
+         options.name + " " + options.service + Suffix(query));
 }
 
 void CoapService::GetFeed(coap_resource_t* resource, coap_session_t*,
-                          const coap_pdu_t*, const coap_string_t*,
+                          const coap_pdu_t*, const coap_string_t* query,
                           coap_pdu_t* response) {
   const auto& service = ServiceOf(resource);
-  const auto payload =
-      service.options_.name + " " + std::to_string(service.feed_value_);
+  const auto payload = service.options_.name + " " +
+                       std::to_string(service.FeedValue()) + Suffix(query);
   Answer(response, COAP_RESPONSE_CODE_CONTENT, payload);
 }
 
@@ -157,7 +170,8 @@
                               const coap_string_t* query,
                               coap_pdu_t* response) {
   const auto* path = coap_resource_get_uri_path(resource);
-  const std::string name(reinterpret_cast<const char*>(path->s), path->length);
+  std::string name(reinterpret_cast<const char*>(path->s), path->length);
+  if (query != nullptr) name += "?" + ToText(query);
   const auto document = ServiceOf(resource).documents_.Get(name);
   coap_pdu_set_code(response, COAP_RESPONSE_CODE_CONTENT);
   coap_add_data_large_response(resource, session, request, response, query,
--- a/standins/upstream/coap_service.h
+++ b/standins/upstream/coap_service.h
@@ -19,7 +19,8 @@
 namespace cowslip::standin {
 
 /// The CoAP resources of an upstream: info, feed, claim, seal, dossier, sheet
-/// and version.
+/// and version. The answers of info and feed end with the query; a document is
+/// another one for each query.
 class CoapService {
  public:
   /// @param report receives the load; outlives the service.
@@ -43,6 +44,9 @@
                                coap_method_handler_t handler);
   void ServeOnce();
   void NotifyFeed(TimePoint now);
+  /// The number of intervals on the machine's clock: all upstreams of a machine
+  /// agree on it.
+  std::uint64_t FeedValue() const;
 
   static void GetInfo(coap_resource_t*, coap_session_t*, const coap_pdu_t*,
                       const coap_string_t*, coap_pdu_t*);
@@ -62,7 +66,6 @@
   Documents documents_;
   CoapContext context_;
   coap_resource_t* feed_ = nullptr;
-  std::uint64_t feed_value_ = 0;
   TimePoint next_feed_{};
   bool stopping_ = false;
 };
--- a/standins/upstream/main.cc
+++ b/standins/upstream/main.cc
@@ -23,7 +23,8 @@
   --journal FILE       Receives a line for each run that starts.
   --service-ms N       Duration of a run [default: 0].
   --slots N            Runs in progress at once [default: 1].
-  --feed-ms N          Interval of the feed's values [default: 500].
+  --feed-ms N          Interval of the feed's values, which all upstreams
+                       of a machine agree on [default: 500].
   --health ADDRESS     Address and port of /health, /load and /lie.
 )";
 
--- a/tests/process/settings_text.cc
+++ b/tests/process/settings_text.cc
@@ -1,5 +1,7 @@
 #include "tests/process/settings_text.h"
 
+#include <sstream>
+
 namespace cowslip::testing {
 
 std::string CtlSettingsText(const Site& site) {
@@ -28,17 +30,17 @@
 
 std::string TicketText(const Site& site, int number,
                        const std::vector<ServiceOptions>& services) {
-  auto text =
-      "ticket: " + std::to_string(number) + "\nauthor: quispe\nservices:\n";
+  std::ostringstream text;
+  text << "ticket: " << number << "\nauthor: quispe\nservices:\n";
   for (const auto& service : services) {
-    const auto id = std::to_string(service.id);
-    text += "  - {id: " + id + ", name: service-" + id + ", address: \"" +
-            site.Vip(service.vip) + "\", protocol: " + service.protocol +
-            ", prefer: " + service.prefer +
-            ", idle_timeout: " + service.idle_timeout +
-            ", request_timeout: " + service.request_timeout + "}\n";
+    text << "  - {id: " << service.id << ", name: service-" << service.id
+         << ", address: \"" << site.Vip(service.vip)
+         << "\", protocol: " << service.protocol
+         << ", prefer: " << service.prefer
+         << ", idle_timeout: " << service.idle_timeout
+         << ", request_timeout: " << service.request_timeout << "}\n";
   }
-  return text;
+  return text.str();
 }
 
 }  // namespace cowslip::testing
