--- a/benchmarks/balancer_benchmark.cc
+++ b/benchmarks/balancer_benchmark.cc
@@ -77,14 +77,15 @@
   }
   std::mt19937 random(1);
   std::vector<FlowKey> keys;
-  for (std::uint32_t i = 0; i < flows; ++i)
+  for (std::uint32_t i = 0; i < flows; ++i) {
     keys.push_back(MakeKey(random() % flows));
+  }
   const std::array<std::uint8_t, 64> payload{};
   balancer.OnCallerDatagram({keys[0], payload}, now, effects);
   effects.Clear();
   std::size_t next = 0;
   const auto before = AllocationCount();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     balancer.OnCallerDatagram({keys[next], payload}, now, effects);
     benchmark::DoNotOptimize(effects.frames.data());
     effects.Clear();
--- a/benchmarks/forwarding_benchmark.cc
+++ b/benchmarks/forwarding_benchmark.cc
@@ -138,6 +138,7 @@
 /// Sends as fast as it can from many caller sockets for the given time.
 void SendFor(milliseconds time, const Endpoint& to, std::size_t payload_bytes) {
   std::vector<link::DatagramSocket> callers;
+  callers.reserve(kSenderSockets);
   for (int i = 0; i < kSenderSockets; ++i) {
     callers.push_back(Bind({0x7f000001, 0}));
   }
--- a/benchmarks/frame_benchmark.cc
+++ b/benchmarks/frame_benchmark.cc
@@ -20,7 +20,7 @@
   const link::FrameHeader header;
   link::EncodedHeader encoded;
   link::FrameMac mac;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     codec.Encode(header, payload, encoded, mac);
     benchmark::DoNotOptimize(mac);
   }
@@ -32,7 +32,7 @@
   const Bytes payload(static_cast<std::size_t>(state.range(0)));
   const auto datagram = codec.Seal(link::FrameHeader{}, payload);
   LastReason<link::LinkError> reason;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     auto frame = codec.Decode(datagram, reason);
     benchmark::DoNotOptimize(frame);
   }
@@ -48,7 +48,7 @@
   message.payload = Bytes(64);
   LastReason<coap::CoapError> reason;
   const auto datagram = coap::Encode(message, reason);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     auto parsed = coap::Parse(*datagram, reason);
     benchmark::DoNotOptimize(parsed);
   }
