--- a/packages/daemon/include/cowslip/daemon/control_state.h
+++ b/packages/daemon/include/cowslip/daemon/control_state.h
@@ -1,37 +1,35 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
-#include <vector>
 
 #include "cowslip/base.h"
 #include "cowslip/membership.h"
-#include "cowslip/platform.h"
+#include "cowslip/relay.h"
 #include "cowslip/ticket.h"
 
 namespace cowslip::daemon {
 
-/// What the control thread knows: the ticket in force and the announcements.
-///
-/// Tickets are applied in number order and never taken back, whatever later
-/// listings hold.
+/// Turns the items that reach a process into views.
 class ControlState {
  public:
-  /// Takes in a full listing of the store.
-  /// @return whether anything changed.
-  bool Absorb(const std::vector<platform::KeyValue>& listing);
+  /// Reads the announcements that are new among the items. Joins are put on
+  /// the local monotonic clock when they are first seen.
+  void TakeItems(const std::map<std::string, relay::Item>& items,
+                 membership::WallTime wall_now, TimePoint now);
 
-  /// Builds the next view; joins are put on the local monotonic clock.
-  membership::ViewPtr BuildView(membership::WallTime wall_now, TimePoint now);
-
-  const ticket::TicketState& tickets() const { return tickets_; }
+  /// Builds the next view of a ticket and the announcements taken.
+  membership::ViewPtr BuildView(const ticket::TicketState& tickets);
 
  private:
-  bool AbsorbTickets(const std::vector<platform::KeyValue>& listing);
-  bool AbsorbAnnouncements(const std::vector<platform::KeyValue>& listing);
+  struct Known {
+    std::uint64_t index = 0;
+    std::optional<membership::Announcement> announcement;
+  };
 
-  ticket::TicketState tickets_;
-  std::map<std::string, std::string> announcements_;  ///< JSON by key.
+  std::map<std::string, Known> announcements_;  ///< By key.
   std::uint64_t epoch_ = 0;
 };
 
--- a/packages/daemon/include/cowslip/daemon/control_thread.h
+++ b/packages/daemon/include/cowslip/daemon/control_thread.h
@@ -1,39 +1,63 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <thread>
 
 #include "cowslip/daemon/control_state.h"
+#include "cowslip/daemon/control_stats.h"
 #include "cowslip/daemon/daemon_error.h"
 #include "cowslip/daemon/view_cell.h"
+#include "cowslip/relay.h"
 #include "cowslip/settings.h"
 
 namespace cowslip::daemon {
 
-/// Follows the store and publishes views.
+class Mailbox;
+class RelayShell;
+class StoreCalls;
+class StoreWatch;
+
+/// Follows tickets and announcements, by peers or the store, and publishes
+/// views.
 class ControlThread {
  public:
+  /// @return the highest ticket number seen on data frames.
+  using NoticedTicket = std::function<TicketNumber()>;
+
   static std::unique_ptr<ControlThread> Start(
-      const settings::StoreSettings& store, ViewCell& views,
-      LastReason<DaemonError>& reason);
+      const settings::DaemonSettings& settings, ViewCell& views,
+      NoticedTicket noticed, LastReason<DaemonError>& reason);
   ~ControlThread();
 
-  /// @return whether the last call to the store was answered.
-  bool store_reachable() const { return reachable_; }
-  TicketNumber ticket() const { return TicketNumber(ticket_.load()); }
+  /// @return whether tickets can come from the store, at first hand or by
+  ///     peers.
+  bool store_reachable() const { return stats_.store_reachable; }
+  TicketNumber ticket() const { return TicketNumber(stats_.ticket.load()); }
+  const ControlStats& stats() const { return stats_; }
 
  private:
-  ControlThread(platform::StoreClient client, ViewCell& views);
+  ControlThread(ViewCell& views, NoticedTicket noticed);
+  bool Open(const settings::DaemonSettings& settings,
+            LastReason<DaemonError>& reason);
   void Run();
+  void HandleMail();
+  void CarryOut();
+  void LogEffects();
   void Publish();
+  void UpdateStats();
 
-  platform::StoreClient client_;
   ViewCell& views_;
+  NoticedTicket noticed_;
+  ControlStats stats_;
   ControlState state_;
+  std::unique_ptr<Mailbox> mailbox_;
+  std::unique_ptr<RelayShell> relay_;
+  std::unique_ptr<StoreWatch> watch_;
+  std::unique_ptr<StoreCalls> calls_;
+  bool store_lost_ = false;
   std::atomic<bool> stopping_{false};
-  std::atomic<bool> reachable_{false};
-  std::atomic<std::uint64_t> ticket_{0};
   std::thread thread_;
 };
 
--- a/packages/daemon/src/balancer_daemon.cc
+++ b/packages/daemon/src/balancer_daemon.cc
@@ -1,8 +1,10 @@
 #include "cowslip/daemon/balancer_daemon.h"
 
+#include <algorithm>
 #include <thread>
 #include <vector>
 
+#include "control_metrics.h"
 #include "cowslip/daemon/balancer_loop.h"
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
@@ -54,10 +56,18 @@
     if (loops.back() == nullptr) return false;
     readable.push_back(loops.back().get());
   }
-  const auto control = ControlThread::Start(settings.store, views, reason);
+  const auto noticed = [&readable] {
+    TicketNumber highest{};
+    for (const auto* loop : readable) {
+      highest = std::max(highest, loop->noticed_ticket());
+    }
+    return highest;
+  };
+  const auto control = ControlThread::Start(settings, views, noticed, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<EngineMetrics<BalancerLoop>>(readable));
+  metrics.Add(std::make_shared<ControlMetrics>(control->stats()));
   const auto face = HttpFace::Start(
       settings.http, MakeInstancePages(settings, *control, metrics), reason);
   if (face == nullptr) return false;
--- a/packages/daemon/src/control_state.cc
+++ b/packages/daemon/src/control_state.cc
@@ -5,83 +5,42 @@
 namespace cowslip::daemon {
 namespace {
 
-using telemetry::Level;
-using telemetry::Log;
-
-void LogRefused(const std::string& key, const std::string& reason) {
-  Log(Level::kError, "store_value_refused", {{"key", key}, {"reason", reason}});
+std::optional<membership::Announcement> Read(const relay::Item& item,
+                                             membership::WallTime wall_now,
+                                             TimePoint now) {
+  if (item.value.empty()) return std::nullopt;
+  LastReason<membership::MembershipError> reason;
+  auto announcement = membership::DecodeAnnouncement(item.value, reason);
+  if (!announcement) {
+    telemetry::Log(telemetry::Level::kError, "store_value_refused",
+                   {{"key", item.key}, {"reason", reason.Message()}});
+    return std::nullopt;
+  }
+  announcement->upstream.joined =
+      membership::JoinTime(announcement->started, wall_now, now);
+  return announcement;
 }
 
 }  // namespace
 
-bool ControlState::AbsorbTickets(
-    const std::vector<platform::KeyValue>& listing) {
-  bool changed = false;
-  std::map<TicketNumber, const platform::KeyValue*> numbered;
-  for (const auto& entry : listing) {
-    if (entry.key == ticket::SnapshotKey()) {
-      LastReason<ticket::TicketError> reason;
-      const auto snapshot = ticket::ParseTicket(entry.value, entry.key, reason);
-      if (!snapshot) {
-        LogRefused(entry.key, reason.Message());
-      } else if (snapshot->number > tickets_.number()) {
-        tickets_ = ticket::TicketState::FromSnapshot(*snapshot);
-        changed = true;
-      }
-    }
-    const auto number = ticket::ParseTicketKey(entry.key);
-    if (number) numbered[*number] = &entry;
-  }
-  for (const auto& [number, entry] : numbered) {
-    if (number <= tickets_.number()) continue;
-    LastReason<ticket::TicketError> reason;
-    const auto parsed = ticket::ParseTicket(entry->value, entry->key, reason);
-    auto next = parsed ? tickets_.Apply(*parsed, reason) : std::nullopt;
-    if (!next) {
-      LogRefused(entry->key, reason.Message());
-      break;
-    }
-    tickets_ = std::move(*next);
-    changed = true;
-    Log(Level::kInfo, "ticket_in_force", {{"ticket", Raw(number)}});
-  }
-  return changed;
-}
-
-bool ControlState::AbsorbAnnouncements(
-    const std::vector<platform::KeyValue>& listing) {
-  std::map<std::string, std::string> latest;
-  for (const auto& entry : listing) {
-    if (!entry.key.starts_with(membership::AnnouncementPrefix())) continue;
-    latest[entry.key] = entry.value;
+void ControlState::TakeItems(const std::map<std::string, relay::Item>& items,
+                             membership::WallTime wall_now, TimePoint now) {
+  for (const auto& [key, item] : items) {
+    if (!key.starts_with(membership::AnnouncementPrefix())) continue;
+    auto& known = announcements_[key];
+    if (known.index == item.index) continue;
+    known = {item.index, Read(item, wall_now, now)};
   }
-  const bool changed = latest != announcements_;
-  announcements_ = std::move(latest);
-  return changed;
-}
-
-bool ControlState::Absorb(const std::vector<platform::KeyValue>& listing) {
-  const bool tickets = AbsorbTickets(listing);
-  const bool announcements = AbsorbAnnouncements(listing);
-  return tickets || announcements;
 }
 
-membership::ViewPtr ControlState::BuildView(membership::WallTime wall_now,
-                                            TimePoint now) {
+membership::ViewPtr ControlState::BuildView(
+    const ticket::TicketState& tickets) {
   std::vector<Upstream> upstreams;
-  for (const auto& [key, json] : announcements_) {
-    LastReason<membership::MembershipError> reason;
-    auto announcement = membership::DecodeAnnouncement(json, reason);
-    if (!announcement) {
-      LogRefused(key, reason.Message());
-      continue;
-    }
-    if (announcement->dead) continue;
-    announcement->upstream.joined =
-        membership::JoinTime(announcement->started, wall_now, now);
-    upstreams.push_back(std::move(announcement->upstream));
+  for (const auto& [key, known] : announcements_) {
+    if (!known.announcement || known.announcement->dead) continue;
+    upstreams.push_back(known.announcement->upstream);
   }
-  return std::make_shared<membership::View>(++epoch_, tickets_,
+  return std::make_shared<membership::View>(++epoch_, tickets,
                                             std::move(upstreams));
 }
 
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -1,67 +1,168 @@
 #include "cowslip/daemon/control_thread.h"
 
+#include <openssl/rand.h>
+
 #include "cowslip/telemetry.h"
+#include "mailbox.h"
+#include "relay_shell.h"
+#include "store_calls.h"
 #include "store_options.h"
+#include "store_watch.h"
 
 namespace cowslip::daemon {
 namespace {
 
-constexpr std::string_view kRoot = "cowslip/";
-constexpr std::chrono::seconds kWatchWait{55};
-constexpr std::chrono::milliseconds kRetryDelay{300};
+using telemetry::Level;
+using telemetry::Log;
+
+constexpr std::chrono::milliseconds kTick{50};
+
+std::uint64_t RandomSeed() {
+  std::uint64_t seed = 0;
+  RAND_bytes(reinterpret_cast<unsigned char*>(&seed), sizeof seed);
+  return seed;
+}
+
+relay::NodeOptions ToNodeOptions(const settings::DaemonSettings& settings) {
+  relay::NodeOptions options;
+  options.self = {settings.instance, settings.data_center, settings.control};
+  options.seeds = settings.peers;
+  options.seed = RandomSeed();
+  if (!settings.sidecar) return options;
+  options.leaf = true;
+  options.parents = 1;
+  options.interest = {false, {settings.sidecar->service}};
+  return options;
+}
 
 }  // namespace
 
 std::unique_ptr<ControlThread> ControlThread::Start(
-    const settings::StoreSettings& store, ViewCell& views,
-    LastReason<DaemonError>& reason) {
-  LastReason<platform::PlatformError> fault;
-  auto client = platform::StoreClient::Create(ToOptions(store), fault);
-  if (!client) {
-    reason.Set(DaemonError::kStore, fault.Message());
-    return nullptr;
-  }
+    const settings::DaemonSettings& settings, ViewCell& views,
+    NoticedTicket noticed, LastReason<DaemonError>& reason) {
   auto control = std::unique_ptr<ControlThread>(
-      new ControlThread(std::move(*client), views));
+      new ControlThread(views, std::move(noticed)));
+  if (!control->Open(settings, reason)) return nullptr;
   control->thread_ = std::thread([raw = control.get()] { raw->Run(); });
   return control;
 }
 
-ControlThread::ControlThread(platform::StoreClient client, ViewCell& views)
-    : client_(std::move(client)), views_(views) {}
+ControlThread::ControlThread(ViewCell& views, NoticedTicket noticed)
+    : views_(views),
+      noticed_(std::move(noticed)),
+      mailbox_(std::make_unique<Mailbox>()) {}
+
+bool ControlThread::Open(const settings::DaemonSettings& settings,
+                         LastReason<DaemonError>& reason) {
+  const auto options = ToNodeOptions(settings);
+  LastReason<platform::PlatformError> fault;
+  auto watcher =
+      platform::StoreClient::Create(ToOptions(settings.store), fault);
+  auto caller = platform::StoreClient::Create(ToOptions(settings.store), fault);
+  if (!watcher || !caller) {
+    reason.Set(DaemonError::kStore, fault.Message());
+    return false;
+  }
+  LastReason<link::LinkError> refused;
+  relay_ = RelayShell::Create(options, settings.frame_key, refused);
+  if (relay_ == nullptr) {
+    reason.Set(DaemonError::kSocket, refused.Message());
+    return false;
+  }
+  watch_ = std::make_unique<StoreWatch>(std::move(*watcher), *mailbox_,
+                                        RandomSeed());
+  calls_ = std::make_unique<StoreCalls>(
+      std::move(*caller), *mailbox_, options.self, !options.leaf, RandomSeed());
+  return true;
+}
 
 ControlThread::~ControlThread() {
   stopping_ = true;
-  client_.Cancel();
   if (thread_.joinable()) thread_.join();
 }
 
 void ControlThread::Run() {
-  std::uint64_t index = 0;
   while (!stopping_) {
-    LastReason<platform::PlatformError> reason;
-    const auto listing =
-        index == 0 ? client_.List(kRoot, reason)
-                   : client_.WatchList(kRoot, index, kWatchWait, reason);
-    if (stopping_) return;
-    if (!listing) {
-      if (reachable_.exchange(false)) {
-        telemetry::Log(telemetry::Level::kWarn, "store_unreachable",
-                       {{"reason", reason.Message()}});
-      }
-      std::this_thread::sleep_for(kRetryDelay);
-      continue;
+    relay_->Poll(mailbox_->fd(), kTick);
+    HandleMail();
+    const auto now = std::chrono::steady_clock::now();
+    if (noticed_) {
+      relay_->node().OnTicketNoticed(noticed_(), now, relay_->effects());
     }
-    reachable_ = true;
-    index = std::max<std::uint64_t>(listing->index, 1);
-    if (state_.Absorb(listing->values)) Publish();
+    relay_->node().OnTick(now, relay_->effects());
+    CarryOut();
+    UpdateStats();
   }
 }
 
+void ControlThread::HandleMail() {
+  auto& node = relay_->node();
+  auto& effects = relay_->effects();
+  for (const auto& event : mailbox_->Take()) {
+    if (const auto* arrived = std::get_if<ListingArrived>(&event)) {
+      node.OnListing(arrived->listing, arrived->complete, effects);
+      if (arrived->complete) store_lost_ = false;
+    } else if (const auto* peers = std::get_if<PeersArrived>(&event)) {
+      node.OnPeersRead(peers->peers);
+    } else if (const auto* lost = std::get_if<StoreLost>(&event)) {
+      node.OnStoreLost(effects);
+      if (std::exchange(store_lost_, true)) continue;
+      Log(Level::kWarn, "store_unreachable", {{"reason", lost->reason}});
+    }
+  }
+}
+
+void ControlThread::CarryOut() {
+  auto& effects = relay_->effects();
+  if (effects.store.start_watch) watch_->SetWanted(true);
+  if (effects.store.stop_watch) watch_->SetWanted(false);
+  if (effects.store.read_peers) calls_->ReadPeers();
+  if (effects.store.read_tickets) calls_->ReadTickets();
+  LogEffects();
+  const bool changed = effects.items_changed || !effects.in_force.empty();
+  // What comes in while these are carried out belongs to the next round.
+  effects.store = {};
+  effects.in_force.clear();
+  effects.refused.clear();
+  effects.items_changed = false;
+  if (changed) Publish();
+  relay_->CarryOut();
+}
+
+void ControlThread::LogEffects() {
+  const auto& effects = relay_->effects();
+  for (const auto number : effects.in_force) {
+    Log(Level::kInfo, "ticket_in_force", {{"ticket", Raw(number)}});
+  }
+  for (const auto& refused : effects.refused) {
+    ++stats_.tickets_refused;
+    Log(Level::kError, "ticket_refused",
+        {{"ticket", Raw(refused.number)}, {"reason", refused.reason}});
+  }
+  if (effects.store.start_watch) Log(Level::kInfo, "store_watch_started");
+  if (effects.store.stop_watch) Log(Level::kInfo, "store_watch_ended");
+}
+
 void ControlThread::Publish() {
-  ticket_ = Raw(state_.tickets().number());
-  views_.Publish(state_.BuildView(std::chrono::system_clock::now(),
-                                  std::chrono::steady_clock::now()));
+  const auto& node = relay_->node();
+  state_.TakeItems(node.items().items(), std::chrono::system_clock::now(),
+                   std::chrono::steady_clock::now());
+  views_.Publish(state_.BuildView(node.tickets().state()));
+  stats_.ticket = Raw(node.tickets().number());
+}
+
+void ControlThread::UpdateStats() {
+  const auto& node = relay_->node();
+  const auto bytes = relay_->bytes();
+  stats_.relay_bytes_in = bytes.in;
+  stats_.relay_bytes_out = bytes.out;
+  stats_.store_bytes = watch_->bytes() + calls_->bytes();
+  stats_.store_calls = watch_->calls() + calls_->calls();
+  stats_.links = node.link_count();
+  stats_.depth = node.depth();
+  stats_.items = node.items().items().size();
+  stats_.watching = node.watching();
+  stats_.store_reachable = node.depth() < relay::kUnrooted;
 }
 
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/instance_pages.cc
+++ b/packages/daemon/src/instance_pages.cc
@@ -10,15 +10,22 @@
   HttpContent content;
   content.health = [&control] {
     if (control.ticket() != TicketNumber{}) return Health{true, "ok"};
-    return Health{false, control.store_reachable()
-                             ? "no ticket is in force"
-                             : "no ticket is known: the store is unreachable"};
+    if (control.store_reachable())
+      return Health{false, "no ticket is in force"};
+    const bool alone = control.stats().links == 0;
+    return Health{false, alone ? "no ticket is known: neither the store nor a "
+                                 "peer is reachable"
+                               : "no ticket is known: the store is unreachable "
+                                 "and no reachable peer has one"};
   };
   content.ticket = [&settings, &control] {
     return nlohmann::json{{"instance", settings.instance},
                           {"data_center", settings.data_center},
                           {"ticket", Raw(control.ticket())},
-                          {"store_reachable", control.store_reachable()}}
+                          {"store_reachable", control.store_reachable()},
+                          {"watching", control.stats().watching.load()},
+                          {"depth", control.stats().depth.load()},
+                          {"streams", control.stats().links.load()}}
         .dump();
   };
   content.metrics = [&metrics] { return metrics.Text(); };
--- /dev/null
+++ b/packages/daemon/src/mailbox.cc
@@ -0,0 +1,22 @@
+#include "mailbox.h"
+
+#include <sys/eventfd.h>
+
+namespace cowslip::daemon {
+
+Mailbox::Mailbox() : wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {}
+
+void Mailbox::Post(StoreEvent event) {
+  const std::lock_guard lock(mutex_);
+  events_.push_back(std::move(event));
+  eventfd_write(wake_.get(), 1);
+}
+
+std::vector<StoreEvent> Mailbox::Take() {
+  const std::lock_guard lock(mutex_);
+  eventfd_t count = 0;
+  eventfd_read(wake_.get(), &count);
+  return std::exchange(events_, {});
+}
+
+}  // namespace cowslip::daemon
--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <thread>
 
+#include "control_metrics.h"
 #include "cowslip/daemon/announcer.h"
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
@@ -80,11 +81,13 @@
   ViewCell views;
   const auto loop = SidecarLoop::Create(settings, *incarnation, views, reason);
   if (loop == nullptr) return false;
-  const auto control = ControlThread::Start(settings.store, views, reason);
+  const auto noticed = [&loop] { return loop->noticed_ticket(); };
+  const auto control = ControlThread::Start(settings, views, noticed, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(
       std::vector<const SidecarLoop*>{loop.get()}));
+  metrics.Add(std::make_shared<ControlMetrics>(control->stats()));
   const auto face = HttpFace::Start(
       settings.http, MakeInstancePages(settings, *control, metrics), reason);
   if (face == nullptr) return false;
--- /dev/null
+++ b/packages/daemon/src/store_listing.cc
@@ -0,0 +1,42 @@
+#include "store_listing.h"
+
+#include <algorithm>
+
+#include "cowslip/telemetry.h"
+
+namespace cowslip::daemon {
+namespace {
+
+/// @return the number that the snapshot states, 0 if it can't be read.
+TicketNumber SnapshotNumber(const platform::KeyValue& entry) {
+  LastReason<ticket::TicketError> reason;
+  const auto snapshot = ticket::ParseTicket(entry.value, entry.key, reason);
+  if (snapshot) return snapshot->number;
+  telemetry::Log(telemetry::Level::kError, "store_value_refused",
+                 {{"key", entry.key}, {"reason", reason.Message()}});
+  return TicketNumber{};
+}
+
+}  // namespace
+
+relay::Listing ToListing(const platform::ListResult& result) {
+  relay::Listing listing;
+  listing.index = result.index;
+  for (const auto& entry : result.values) {
+    if (entry.key == ticket::SnapshotKey()) {
+      listing.tickets.push_back({SnapshotNumber(entry), true, entry.value});
+    } else if (const auto number = ticket::ParseTicketKey(entry.key)) {
+      listing.tickets.push_back({*number, false, entry.value});
+    } else {
+      listing.items.push_back({entry.key, entry.value, entry.modify_index});
+    }
+  }
+  std::sort(listing.tickets.begin(), listing.tickets.end(),
+            [](const auto& a, const auto& b) {
+              return std::pair(!a.snapshot, a.number) <
+                     std::pair(!b.snapshot, b.number);
+            });
+  return listing;
+}
+
+}  // namespace cowslip::daemon
--- /dev/null
+++ b/packages/daemon/src/store_listing.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <vector>
+
+#include "cowslip/platform.h"
+#include "cowslip/relay.h"
+
+namespace cowslip::daemon {
+
+/// The store key below which everything of the system stands.
+inline constexpr std::string_view kStoreRoot = "cowslip/";
+
+/// Sorts a listing of the store into tickets, in order, and items.
+relay::Listing ToListing(const platform::ListResult& result);
+
+}  // namespace cowslip::daemon
--- a/packages/link/include/cowslip/link.h
+++ b/packages/link/include/cowslip/link.h
@@ -7,5 +7,8 @@
 #include "cowslip/link/file_descriptor.h"  // IWYU pragma: export
 #include "cowslip/link/frame.h"            // IWYU pragma: export
 #include "cowslip/link/frame_codec.h"      // IWYU pragma: export
+#include "cowslip/link/line_stream.h"      // IWYU pragma: export
 #include "cowslip/link/link_error.h"       // IWYU pragma: export
+#include "cowslip/link/stream_auth.h"      // IWYU pragma: export
+#include "cowslip/link/stream_listener.h"  // IWYU pragma: export
 #include "cowslip/link/visited_list.h"     // IWYU pragma: export
--- /dev/null
+++ b/packages/relay/include/cowslip/relay/item.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "cowslip/base.h"
+
+namespace cowslip::relay {
+
+/// One key of the store, other than tickets, as of one write.
+struct Item {
+  std::string key;
+  std::string value;        ///< Empty once the key is deleted.
+  std::uint64_t index = 0;  ///< The store's index of the write.
+
+  bool operator==(const Item&) const = default;
+};
+
+/// Which items a process wants.
+struct Interest {
+  bool everything = true;
+  std::vector<ServiceId> services;  ///< Announcements wanted otherwise.
+
+  bool operator==(const Interest&) const = default;
+  bool Covers(const Item& item) const;
+};
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cowslip/relay/effects.h"
+#include "cowslip/relay/item_table.h"
+#include "cowslip/relay/node_options.h"
+#include "cowslip/relay/ticket_log.h"
+
+namespace cowslip::relay {
+
+/// A listing of the store as of one index.
+struct Listing {
+  std::vector<TicketText> tickets;
+  std::vector<Item> items;
+  std::uint64_t index = 0;
+};
+
+/// One process's part in spreading tickets and announcements.
+///
+/// A few processes of a data centre watch the store: those that rank first by
+/// a hash of their names among the ones known, and those that find no way to
+/// one of them. Any number of them is safe. The rest follow one another in a
+/// tree. Every stream carries news both ways, so that what one process knows
+/// reaches all that are connected, also while the store is away.
+class Node {
+ public:
+  Node(const NodeOptions& options, TimePoint now);
+
+  /// @param complete whether the listing holds items too, not tickets only.
+  void OnListing(const Listing& listing, bool complete, Effects& effects);
+  /// The store didn't answer.
+  void OnStoreLost(Effects& effects);
+  /// Instance records read from the store after StoreWishes::read_peers.
+  void OnPeersRead(const std::vector<Peer>& peers);
+  /// A stream is open. @param outgoing whether OpenLink asked for it.
+  void OnLinkUp(LinkId link, bool outgoing, TimePoint now, Effects& effects);
+  void OnLinkDown(LinkId link, TimePoint now, Effects& effects);
+  void OnMessage(LinkId link, const Message& message, TimePoint now,
+                 Effects& effects);
+  /// A data frame told of a ticket.
+  void OnTicketNoticed(TicketNumber number, TimePoint now, Effects& effects);
+  /// Call it several times a second.
+  void OnTick(TimePoint now, Effects& effects);
+
+  const TicketLog& tickets() const { return tickets_; }
+  const ItemTable& items() const { return items_; }
+  bool watching() const { return watching_; }
+  /// @return hops to a process that hears the store.
+  Depth depth() const { return DepthWithout(std::nullopt); }
+  /// @return open streams, both ways.
+  std::size_t link_count() const;
+
+ private:
+  struct Link {
+    Endpoint control;
+    bool outgoing = false;
+    bool up = false;
+    bool greeted = false;
+    Peer peer;
+    Interest interest;
+    TicketNumber ticket{};
+    std::uint64_t index = 0;
+    Depth depth = kUnrooted;
+    TimePoint heard{};
+    TimePoint beaten{};
+  };
+
+  void Handle(LinkId id, Link& link, const Hello& hello, Effects& effects);
+  void Handle(LinkId id, Link& link, const Beat& beat, Effects& effects);
+  void Handle(LinkId id, Link& link, const Want& want, Effects& effects);
+  void Handle(LinkId id, Link& link, const Peers& peers, Effects& effects);
+  void Handle(LinkId id, Link& link, const TicketText& text, Effects& effects);
+  void Handle(LinkId id, Link& link, const Item& item, Effects& effects);
+
+  bool ApplyTicket(const TicketText& text, Effects& effects);
+  void PushTickets(LinkId id, Link& link, Effects& effects);
+  void PushItem(const Item& item, Effects& effects);
+  void PushItems(LinkId id, Link& link, Effects& effects);
+  void NoteItem(const Item& item);
+  void SendHello(LinkId id, Effects& effects);
+  void SendPeers(LinkId id, const Link& link, Effects& effects);
+
+  void ReviewLinks(TimePoint now, Effects& effects);
+  void ReviewWatch(TimePoint now, Effects& effects);
+  void ReviewParents(TimePoint now, Effects& effects);
+  void ReviewNotice(TimePoint now, Effects& effects);
+  bool ShouldWatch(TimePoint now);
+  void DropSurplus(TimePoint now, Effects& effects);
+  Depth DepthWithout(std::optional<LinkId> excluded) const;
+  std::size_t outgoing() const;
+  std::size_t parents() const;
+  std::vector<Peer> KnownPeers() const;
+  std::vector<Endpoint> Candidates() const;
+  bool IsLinked(const Endpoint& control) const;
+  Duration Jitter(Duration base);
+
+  NodeOptions options_;
+  std::mt19937_64 random_;
+  TicketLog tickets_;
+  ItemTable items_;
+  std::map<std::string, Peer> peers_;    ///< From instance records, by key.
+  std::map<std::string, Peer> hearsay_;  ///< Named by others, by instance.
+  std::map<LinkId, Link> links_;
+  std::uint64_t next_link_ = 1;
+  bool watching_ = false;
+  bool store_heard_ = false;
+  bool peers_asked_ = false;
+  bool peers_known_ = false;  ///< The list was read, so that ranks are known.
+  std::size_t attempt_ = 0;
+  Duration retry_;
+  TimePoint next_attempt_;
+  TimePoint linked_at_;  ///< Last instant with a stream or the store.
+  TimePoint rooted_at_;  ///< Last instant with a way to the store.
+  Duration lonely_patience_;
+  TicketNumber noticed_{};
+  TimePoint noticed_at_;
+  TimePoint notice_review_;
+};
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/include/cowslip/relay/node_options.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+#include "cowslip/base.h"
+#include "cowslip/relay/item.h"
+#include "cowslip/relay/peer.h"
+#include "cowslip/relay/peer_ranking.h"
+
+namespace cowslip::relay {
+
+/// How one process takes part in the relay.
+struct NodeOptions {
+  Peer self;
+  /// Whether nobody follows this process; it then writes no instance record.
+  bool leaf = false;
+  Interest interest;
+  std::vector<Endpoint> seeds;  ///< Control endpoints from the settings.
+  TreeShape shape;
+  std::size_t parents = 2;  ///< Streams towards others that are kept open.
+  std::chrono::milliseconds beat{1000};
+  /// A stream that is silent for longer is given up.
+  std::chrono::milliseconds silence{3000};
+  /// Time without any stream after which the store is asked instead.
+  std::chrono::milliseconds patience{1500};
+  std::chrono::milliseconds min_retry{100};
+  std::chrono::milliseconds max_retry{5000};
+  std::uint64_t seed = 1;  ///< Spreads retries.
+};
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/src/message_codec.cc
@@ -0,0 +1,132 @@
+#include "cowslip/relay/message_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslip::relay {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Values of the key "t".
+constexpr char kHello[] = "hello";
+constexpr char kBeat[] = "b";
+constexpr char kWant[] = "want";
+constexpr char kPeers[] = "peers";
+constexpr char kTicket[] = "ticket";
+constexpr char kItem[] = "item";
+
+Json ToJson(const Peer& peer) {
+  return {{"i", peer.instance},
+          {"dc", peer.data_center},
+          {"c", ToString(peer.control)}};
+}
+
+Json ToJson(const Hello& hello) {
+  Json services = Json::array();
+  for (const auto id : hello.interest.services) services.push_back(Raw(id));
+  return {{"t", kHello},
+          {"self", ToJson(hello.self)},
+          {"n", Raw(hello.ticket)},
+          {"x", hello.index},
+          {"all", hello.interest.everything},
+          {"s", std::move(services)},
+          {"d", hello.depth}};
+}
+
+Json ToJson(const Beat& beat) {
+  return {{"t", kBeat}, {"n", Raw(beat.ticket)}, {"d", beat.depth}};
+}
+
+Json ToJson(const Want& want) {
+  return {{"t", kWant}, {"n", Raw(want.ticket)}};
+}
+
+Json ToJson(const Peers& peers) {
+  Json list = Json::array();
+  for (const auto& peer : peers.peers) list.push_back(ToJson(peer));
+  return {{"t", kPeers}, {"p", std::move(list)}};
+}
+
+Json ToJson(const TicketText& ticket) {
+  return {{"t", kTicket},
+          {"n", Raw(ticket.number)},
+          {"fold", ticket.snapshot},
+          {"v", ticket.text}};
+}
+
+Json ToJson(const Item& item) {
+  return {{"t", kItem}, {"k", item.key}, {"v", item.value}, {"x", item.index}};
+}
+
+Peer PeerFrom(const Json& json) {
+  const auto control = ParseEndpoint(json.at("c").get<std::string>());
+  return {json.at("i").get<std::string>(), json.at("dc").get<std::string>(),
+          control.value_or(Endpoint{})};
+}
+
+TicketNumber NumberFrom(const Json& json) {
+  return TicketNumber(json.at("n").get<std::uint64_t>());
+}
+
+Depth DepthFrom(const Json& json) {
+  return std::min(json.at("d").get<Depth>(), kUnrooted);
+}
+
+Hello HelloFrom(const Json& json) {
+  Hello hello{PeerFrom(json.at("self")),
+              NumberFrom(json),
+              json.at("x").get<std::uint64_t>(),
+              {},
+              DepthFrom(json)};
+  hello.interest.everything = json.at("all").get<bool>();
+  for (const auto& id : json.at("s")) {
+    hello.interest.services.push_back(ServiceId(id.get<std::uint32_t>()));
+  }
+  return hello;
+}
+
+Peers PeersFrom(const Json& json) {
+  Peers peers;
+  for (const auto& peer : json.at("p")) peers.peers.push_back(PeerFrom(peer));
+  return peers;
+}
+
+std::optional<Message> FromJson(const Json& json) {
+  const auto type = json.at("t").get<std::string>();
+  if (type == kHello) return HelloFrom(json);
+  if (type == kBeat) return Beat{NumberFrom(json), DepthFrom(json)};
+  if (type == kWant) return Want{NumberFrom(json)};
+  if (type == kPeers) return PeersFrom(json);
+  if (type == kTicket) {
+    return TicketText{NumberFrom(json), json.at("fold").get<bool>(),
+                      json.at("v").get<std::string>()};
+  }
+  if (type == kItem) {
+    return Item{json.at("k").get<std::string>(),
+                json.at("v").get<std::string>(),
+                json.at("x").get<std::uint64_t>()};
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string EncodeMessage(const Message& message) {
+  const auto json =
+      std::visit([](const auto& typed) { return ToJson(typed); }, message);
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+}
+
+std::optional<Message> DecodeMessage(std::string_view line,
+                                     LastReason<RelayError>& reason) {
+  try {
+    auto message = FromJson(Json::parse(line));
+    if (message) return message;
+    reason.Set(RelayError::kBadMessage, "type");
+  } catch (const Json::exception& error) {
+    reason.Set(RelayError::kBadMessage, error.what());
+  }
+  return std::nullopt;
+}
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/src/node_messages.cc
@@ -0,0 +1,124 @@
+#include <algorithm>
+
+#include "cowslip/relay/node.h"
+
+namespace cowslip::relay {
+namespace {
+
+/// Peers named to a follower that keeps no list of its own.
+constexpr std::size_t kNamedPeers = 8;
+
+}  // namespace
+
+bool Node::ApplyTicket(const TicketText& text, Effects& effects) {
+  LastReason<ticket::TicketError> reason;
+  if (tickets_.Apply(text, reason)) {
+    effects.in_force.push_back(text.number);
+    return true;
+  }
+  if (!reason.ok()) effects.refused.push_back({text.number, reason.Message()});
+  return false;
+}
+
+void Node::PushTickets(LinkId id, Link& link, Effects& effects) {
+  if (!link.greeted || link.ticket >= tickets_.number()) return;
+  for (const auto& text : tickets_.Since(link.ticket)) {
+    effects.Send(id, text);
+  }
+  link.ticket = tickets_.number();
+}
+
+void Node::PushItem(const Item& item, Effects& effects) {
+  // A process that keeps a part of the items can't bring others up to date.
+  if (!options_.interest.everything) return;
+  for (auto& [id, link] : links_) {
+    const bool wanted = link.greeted && item.index > link.index;
+    if (!wanted || !link.interest.Covers(item)) continue;
+    effects.Send(id, item);
+  }
+}
+
+void Node::PushItems(LinkId id, Link& link, Effects& effects) {
+  if (!options_.interest.everything) return;
+  for (const auto& item : items_.Since(link.index, link.interest)) {
+    effects.Send(id, item);
+  }
+}
+
+void Node::NoteItem(const Item& item) {
+  if (!item.key.starts_with(InstancePrefix())) return;
+  LastReason<RelayError> reason;
+  const auto peer = DecodePeer(item.value, reason);
+  if (peer) {
+    peers_[item.key] = *peer;
+    return;
+  }
+  const auto gone = peers_.find(item.key);
+  if (gone == peers_.end()) return;
+  hearsay_.erase(gone->second.instance);
+  peers_.erase(gone);
+}
+
+void Node::SendHello(LinkId id, Effects& effects) {
+  effects.Send(id, Hello{options_.self, tickets_.number(), items_.index(),
+                         options_.interest, DepthWithout(id)});
+}
+
+void Node::SendPeers(LinkId id, const Link& link, Effects& effects) {
+  if (link.interest.everything || link.outgoing) return;
+  auto named = ParentCandidates(link.peer, true, KnownPeers(), options_.shape);
+  if (named.size() > kNamedPeers) named.resize(kNamedPeers);
+  if (!named.empty()) effects.Send(id, Peers{named});
+}
+
+void Node::Handle(LinkId id, Link& link, const Hello& hello, Effects& effects) {
+  link.greeted = true;
+  link.peer = hello.self;
+  link.interest = hello.interest;
+  link.ticket = hello.ticket;
+  link.index = hello.index;
+  link.depth = hello.depth;
+  PushTickets(id, link, effects);
+  PushItems(id, link, effects);
+  SendPeers(id, link, effects);
+}
+
+void Node::Handle(LinkId id, Link& link, const Beat& beat, Effects& effects) {
+  link.depth = beat.depth;
+  link.ticket = std::max(link.ticket, beat.ticket);
+  if (beat.ticket > tickets_.number()) {
+    effects.Send(id, Want{tickets_.number()});
+  }
+}
+
+void Node::Handle(LinkId id, Link& link, const Want& want, Effects& effects) {
+  link.ticket = want.ticket;
+  PushTickets(id, link, effects);
+}
+
+void Node::Handle(LinkId, Link&, const Peers& peers, Effects&) {
+  for (const auto& peer : peers.peers) hearsay_[peer.instance] = peer;
+}
+
+void Node::Handle(LinkId id, Link& link, const TicketText& text,
+                  Effects& effects) {
+  link.ticket = std::max(link.ticket, text.number);
+  if (ApplyTicket(text, effects)) {
+    for (auto& [other, neighbour] : links_) {
+      PushTickets(other, neighbour, effects);
+    }
+  } else if (text.number > tickets_.number() && effects.refused.empty()) {
+    effects.Send(id, Want{tickets_.number()});
+  }
+}
+
+void Node::Handle(LinkId, Link& link, const Item& item, Effects& effects) {
+  link.index = std::max(link.index, item.index);
+  const bool wanted = options_.interest.Covers(item);
+  if (!wanted || !items_.Apply(item)) return;
+  NoteItem(item);
+  effects.items_changed = true;
+  PushItem(item, effects);
+}
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/src/node_review.cc
@@ -0,0 +1,145 @@
+#include <algorithm>
+
+#include "cowslip/relay/node.h"
+
+namespace cowslip::relay {
+
+/// @return streams that this process opened or is opening.
+std::size_t Node::outgoing() const {
+  return static_cast<std::size_t>(
+      std::count_if(links_.begin(), links_.end(),
+                    [](const auto& item) { return item.second.outgoing; }));
+}
+
+/// @return those of them whose other end has said hello.
+std::size_t Node::parents() const {
+  return static_cast<std::size_t>(
+      std::count_if(links_.begin(), links_.end(), [](const auto& item) {
+        return item.second.outgoing && item.second.greeted;
+      }));
+}
+
+bool Node::IsLinked(const Endpoint& control) const {
+  if (control == options_.self.control) return true;
+  return std::any_of(links_.begin(), links_.end(), [&](const auto& item) {
+    const auto& link = item.second;
+    return link.control == control ||
+           (link.greeted && link.peer.control == control);
+  });
+}
+
+/// Gives up silent streams and sends what is due on the others.
+void Node::ReviewLinks(TimePoint now, Effects& effects) {
+  std::vector<LinkId> silent;
+  for (auto& [id, link] : links_) {
+    if (!link.up) continue;
+    if (now - link.heard > options_.silence) silent.push_back(id);
+    if (now - link.beaten < options_.beat) continue;
+    link.beaten = now;
+    effects.Send(id, Beat{tickets_.number(), DepthWithout(id)});
+  }
+  for (const auto id : silent) {
+    effects.closes.push_back({id});
+    OnLinkDown(id, now, effects);
+  }
+  if (link_count() > 0 || depth() == 0) linked_at_ = now;
+  if (depth() < kUnrooted) rooted_at_ = now;
+}
+
+/// Those that rank first watch at once. Of the others, ever larger groups
+/// step up, in the order of their rank, the longer nobody hears the store:
+/// the group doubles its patience, so that an outage isn't answered by all.
+bool Node::ShouldWatch(TimePoint now) {
+  if (now - linked_at_ > lonely_patience_) return true;
+  if (options_.leaf) return false;
+  const PeerRanking ranking(options_.self, KnownPeers());
+  const auto group = ranking.position() / options_.shape.watchers;
+  if (group == 0) return peers_known_;
+  constexpr std::size_t kMaxGroup = 20;
+  const auto patience = options_.patience * (1LL << std::min(group, kMaxGroup));
+  return now - rooted_at_ > patience;
+}
+
+void Node::ReviewWatch(TimePoint now, Effects& effects) {
+  const bool may_wait = options_.leaf && !options_.seeds.empty();
+  const bool due = !may_wait || now - linked_at_ > options_.patience / 2;
+  if (!peers_asked_ && due) {
+    peers_asked_ = true;
+    effects.store.read_peers = true;
+  }
+  const bool wanted = ShouldWatch(now);
+  if (wanted && !watching_) {
+    watching_ = true;
+    effects.store.start_watch = true;
+  }
+  if (!watching_ || wanted) return;
+  watching_ = false;
+  if (depth() == kUnrooted) {
+    watching_ = true;
+  } else {
+    store_heard_ = false;
+    effects.store.stop_watch = true;
+  }
+}
+
+std::vector<Endpoint> Node::Candidates() const {
+  std::vector<Endpoint> candidates;
+  const auto add = [&](const Endpoint& control) {
+    const auto end = candidates.end();
+    if (std::find(candidates.begin(), end, control) == end) {
+      candidates.push_back(control);
+    }
+  };
+  for (const auto& peer : ParentCandidates(options_.self, options_.leaf,
+                                           KnownPeers(), options_.shape)) {
+    add(peer.control);
+  }
+  for (const auto& seed : options_.seeds) add(seed);
+  std::erase_if(candidates,
+                [this](const auto& control) { return IsLinked(control); });
+  return candidates;
+}
+
+/// Closes one stream too many: the one that is furthest from the store.
+void Node::DropSurplus(TimePoint now, Effects& effects) {
+  if (parents() <= options_.parents) return;
+  std::optional<LinkId> worst;
+  for (const auto& [id, link] : links_) {
+    if (!link.outgoing || !link.greeted) continue;
+    if (!worst || link.depth >= links_[*worst].depth) worst = id;
+  }
+  effects.closes.push_back({*worst});
+  links_.erase(*worst);
+  next_attempt_ = now + Jitter(retry_);
+}
+
+/// Keeps the wanted number of streams open, and looks round with one more
+/// while none leads to the store.
+void Node::ReviewParents(TimePoint now, Effects& effects) {
+  DropSurplus(now, effects);
+  const bool lost = now - rooted_at_ > options_.patience;
+  const auto wanted = options_.parents + (lost ? 1 : 0);
+  const bool busy = outgoing() > parents();
+  if (busy || outgoing() >= wanted || now < next_attempt_) return;
+  const auto candidates = Candidates();
+  next_attempt_ = now + Jitter(retry_);
+  if (candidates.empty()) return;
+  const auto control = candidates[attempt_ % candidates.size()];
+  if (++attempt_ % candidates.size() == 0) {
+    retry_ = std::min<Duration>(retry_ * 2, options_.max_retry);
+  }
+  const LinkId id{next_link_++};
+  auto& link = links_[id];
+  link.control = control;
+  link.outgoing = true;
+  effects.opens.push_back({id, control});
+}
+
+/// Asks the store for tickets if no peer brought the one that was noticed.
+void Node::ReviewNotice(TimePoint now, Effects& effects) {
+  if (noticed_ <= tickets_.number() || now < notice_review_) return;
+  effects.store.read_tickets = true;
+  notice_review_ = now + Jitter(options_.max_retry);
+}
+
+}  // namespace cowslip::relay
--- /dev/null
+++ b/packages/relay/src/relay_error.cc
@@ -0,0 +1,17 @@
+#include "cowslip/relay/relay_error.h"
+
+namespace cowslip::relay {
+
+std::string_view ErrorMessage(RelayError error) {
+  switch (error) {
+    case RelayError::kOk:
+      return "ok";
+    case RelayError::kBadMessage:
+      return "the relay message can't be read";
+    case RelayError::kBadPeer:
+      return "the instance record can't be read";
+  }
+  return "unknown error";
+}
+
+}  // namespace cowslip::relay
