--- a/packages/relay/include/cowslip/relay/item_table.h
+++ b/packages/relay/include/cowslip/relay/item_table.h
@@ -13,7 +13,8 @@
 /// Items are taken in the order of their indexes from each source, so a table
 /// with index() X holds the latest state of every wanted key as of X, at
 /// least. A process that changes its source states X and is sent what came
-/// after.
+/// after. Deletions before the first listing that a table took are unknown to
+/// it: a key may only be deleted once its record has long said that it is dead.
 class ItemTable {
  public:
   /// @return whether the item is newer than the one held for its key.
