--- a/packages/daemon/src/balancer_daemon.cc
+++ b/packages/daemon/src/balancer_daemon.cc
@@ -4,6 +4,7 @@
 #include <thread>
 #include <vector>
 
+#include "burn_board.h"
 #include "control_metrics.h"
 #include "cowslip/daemon/balancer_loop.h"
 #include "cowslip/daemon/control_thread.h"
@@ -18,7 +19,6 @@
 using telemetry::Level;
 using telemetry::Log;
 
-constexpr std::chrono::hours kForever{24 * 365};
 /// Time for sidecars to move replies and for the fabric to stop sending here.
 constexpr std::chrono::seconds kLeaveTime{2};
 
@@ -68,13 +68,15 @@
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<EngineMetrics<BalancerLoop>>(readable));
   metrics.Add(std::make_shared<ControlMetrics>(control->stats()));
-  const auto face = HttpFace::Start(
-      settings.http, MakeInstancePages(settings, *control, metrics), reason);
+  BurnBoard board(settings.objectives);
+  auto pages = MakeInstancePages(settings, *control, metrics);
+  board.AddPages(settings.instance, pages);
+  const auto face = HttpFace::Start(settings.http, pages, reason);
   if (face == nullptr) return false;
   const TrafficThreads threads(loops);
   Log(Level::kInfo, "balancer_started",
       {{"frames", ToString(settings.balancer->frames)}});
-  stop.WaitFor(kForever);
+  board.SampleUntilStopped(stop, readable);
   Log(Level::kInfo, "balancer_draining");
   for (auto& loop : loops) loop->Drain();
   stop.WaitFor(kLeaveTime);
--- a/packages/daemon/src/store_listing.cc
+++ b/packages/daemon/src/store_listing.cc
@@ -10,7 +10,7 @@
 /// @return the number that the snapshot states, 0 if it can't be read.
 TicketNumber SnapshotNumber(const platform::KeyValue& entry) {
   LastReason<ticket::TicketError> reason;
-  const auto snapshot = ticket::ParseTicket(entry.value, entry.key, reason);
+  const auto snapshot = ticket::ParseSnapshot(entry.value, entry.key, reason);
   if (snapshot) return snapshot->number;
   telemetry::Log(telemetry::Level::kError, "store_value_refused",
                  {{"key", entry.key}, {"reason", reason.Message()}});
--- a/packages/relay/src/ticket_log.cc
+++ b/packages/relay/src/ticket_log.cc
@@ -8,7 +8,9 @@
   const bool next = Raw(ticket.number) == Raw(number()) + 1;
   if (!next && !ticket.snapshot) return false;
   const auto name = "ticket " + std::to_string(Raw(ticket.number));
-  const auto parsed = ticket::ParseTicket(ticket.text, name, reason);
+  const auto parsed = ticket.snapshot
+                          ? ticket::ParseSnapshot(ticket.text, name, reason)
+                          : ticket::ParseTicket(ticket.text, name, reason);
   if (!parsed) return false;
   if (parsed->number != ticket.number) {
     reason.Set(ticket::TicketError::kNumberNotNext, name);
--- a/packages/ticket/src/ticket_state.cc
+++ b/packages/ticket/src/ticket_state.cc
@@ -37,6 +37,20 @@
   return nullptr;
 }
 
+void TicketState::Put(const Service& service) {
+  Remove(service.id);
+  services_[service.id] = service;
+  bytes_ += FormattedSize(service);
+}
+
+bool TicketState::Remove(ServiceId id) {
+  const auto found = services_.find(id);
+  if (found == services_.end()) return false;
+  bytes_ -= FormattedSize(found->second);
+  services_.erase(found);
+  return true;
+}
+
 std::optional<TicketState> TicketState::Apply(
     const Ticket& ticket, LastReason<TicketError>& reason) const {
   if (Raw(ticket.number) != Raw(number_) + 1) {
@@ -47,18 +61,20 @@
   TicketState next = *this;
   next.number_ = ticket.number;
   for (const auto id : ticket.removed) {
-    if (next.services_.erase(id) == 0) {
+    if (!next.Remove(id)) {
       reason.Set(TicketError::kUnknownService,
                  "removed id " + std::to_string(Raw(id)));
       return std::nullopt;
     }
   }
   for (const auto& service : ticket.services) {
-    next.services_[service.id] = service;
+    next.Put(service);
   }
   if (!CheckUnique(next.services_, reason)) return std::nullopt;
-  if (FormatTicket(next.Snapshot()).size() > kMaxBytes) {
-    reason.Set(TicketError::kTooLarge);
+  if (next.bytes_ > kMaxBytes) {
+    reason.Set(TicketError::kTooLarge,
+               std::to_string(next.bytes_) + " bytes of at most " +
+                   std::to_string(kMaxBytes));
     return std::nullopt;
   }
   return next;
@@ -78,7 +94,7 @@
   TicketState state;
   state.number_ = snapshot.number;
   for (const auto& service : snapshot.services) {
-    state.services_[service.id] = service;
+    state.Put(service);
   }
   return state;
 }
--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -70,10 +70,7 @@
       "Content-Type: " + response.content_type + "\r\nConnection: close\r\n";
   text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   for (const auto& [name, value] : response.headers) {
-    text += name;
-    text += ": ";
-    text += value;
-    text += "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   text += "\r\n" + response.body;
   mg_write(connection, text.data(), text.size());
--- a/standins/store/http_face.cc
+++ b/standins/store/http_face.cc
@@ -109,9 +109,10 @@
   options.delete_keys =
       json.contains("Behavior") && json["Behavior"] == "delete";
   options.ttl = DurationField(json, "TTL");
-  const bool has_bad_ttl =
-      json.contains("TTL") && !json["TTL"].empty() && !options.ttl;
-  if (has_bad_ttl) return std::nullopt;
+  const auto ttl = json.value("TTL", Json(""));
+  const bool has_ttl =
+      !ttl.is_string() || !ttl.get_ref<const std::string&>().empty();
+  if (has_ttl && !options.ttl) return std::nullopt;
   return options;
 }
 
