--- a/packages/ctl/src/main.cc
+++ b/packages/ctl/src/main.cc
@@ -18,6 +18,7 @@
   cowslipctl ticket submit FILE --settings FILE
   cowslipctl ticket show [NUMBER] --settings FILE
   cowslipctl ticket history --settings FILE
+  cowslipctl ticket compact --settings FILE
   cowslipctl status --settings FILE
   cowslipctl report burn --settings FILE
   cowslipctl settings check FILE
@@ -54,6 +55,7 @@
     return cowslip::ctl::ShowTicket(settings, NumberOf(arguments));
   }
   if (chosen("history")) return cowslip::ctl::ShowHistory(settings);
+  if (chosen("compact")) return cowslip::ctl::CompactTickets(settings);
   if (chosen("status")) return cowslip::ctl::ShowStatus(settings);
   return cowslip::ctl::ReportBurn(settings);
 }
--- a/packages/ctl/src/ticket_commands.cc
+++ b/packages/ctl/src/ticket_commands.cc
@@ -47,6 +47,7 @@
     case RegistryError::kInvalid:
     case RegistryError::kNotNext:
     case RegistryError::kNotFound:
+    case RegistryError::kBadSnapshot:
       return ExitCode::kInvalid;
   }
   return ExitCode::kInvalid;
@@ -98,7 +99,7 @@
     reason.Set(RegistryError::kNotFound, std::to_string(*number));
     return Report(reason);
   }
-  std::cout << ticket::FormatTicket(found->second) << "\n";
+  std::cout << ticket::FormatTicket(found->second.ticket) << "\n";
   return ExitCode::kDone;
 }
 
@@ -108,13 +109,34 @@
   LastReason<RegistryError> reason;
   const auto history = registry->Read(reason);
   if (!history) return Report(reason);
-  for (const auto& [number, ticket] : history->tickets) {
+  for (const auto& folded : history->folded) {
+    std::cout << "ticket=" << Raw(folded.number) << " author=" << folded.author
+              << " folded=true note=\"" << folded.note << "\"\n";
+  }
+  for (const auto& [number, stored] : history->tickets) {
+    if (number <= history->snapshot) continue;
+    const auto& ticket = stored.ticket;
     std::cout << "ticket=" << Raw(number) << " author=" << ticket.author
               << " services=" << ticket.services.size()
               << " removed=" << ticket.removed.size() << " note=\""
               << ticket.note << "\"\n";
   }
-  std::cout << "in_force=" << Raw(history->state.number()) << "\n";
+  std::cout << "in_force=" << Raw(history->state.number())
+            << " snapshot=" << Raw(history->snapshot) << "\n";
+  return ExitCode::kDone;
+}
+
+ExitCode CompactTickets(const settings::CtlSettings& settings) {
+  auto registry = OpenRegistry(settings);
+  if (!registry) return ExitCode::kUnavailable;
+  LastReason<RegistryError> reason;
+  auto compaction = registry::Compaction::Plan(*registry, reason);
+  if (!compaction) return Report(reason);
+  while (!compaction->done()) {
+    if (!compaction->Step(reason)) return Report(reason);
+  }
+  std::cout << "compacted snapshot=" << Raw(compaction->number())
+            << " deleted=" << compaction->tickets() << "\n";
   return ExitCode::kDone;
 }
 
--- a/packages/ctl/src/ticket_commands.h
+++ b/packages/ctl/src/ticket_commands.h
@@ -19,4 +19,7 @@
 /// Lists the accepted tickets.
 ExitCode ShowHistory(const settings::CtlSettings& settings);
 
+/// Replaces all tickets in the store by a snapshot.
+ExitCode CompactTickets(const settings::CtlSettings& settings);
+
 }  // namespace cowslip::ctl
--- a/packages/registry/include/cowslip/registry/registry_error.h
+++ b/packages/registry/include/cowslip/registry/registry_error.h
@@ -13,6 +13,7 @@
   kUnavailable,  ///< The store was not reached: the ticket is not accepted.
   kUnknown,      ///< The store can't tell whether the ticket was accepted.
   kNotFound,
+  kBadSnapshot,  ///< The snapshot in the store can't be read.
 };
 
 /// @return one sentence for operators.
--- a/packages/registry/include/cowslip/registry/ticket_registry.h
+++ b/packages/registry/include/cowslip/registry/ticket_registry.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
 
 #include "cowslip/base.h"
 #include "cowslip/platform.h"
+#include "cowslip/registry/history.h"
 #include "cowslip/registry/registry_error.h"
 #include "cowslip/ticket.h"
 
@@ -18,13 +18,12 @@
   bool repeated = false;  ///< The same ticket had been accepted before.
 };
 
-/// The accepted tickets as the store holds them.
-struct History {
-  std::map<TicketNumber, ticket::Ticket> tickets;  ///< Since the snapshot.
-  ticket::TicketState state;                       ///< All of them, folded.
-};
-
 /// Reads and submits tickets.
+///
+/// A number is created once only: by a compare-and-set that demands that its
+/// key is missing, and not counted if a snapshot has gone past the number
+/// meanwhile. Whether a write with a lost answer took effect is found out by
+/// reading the number back and comparing digests.
 class TicketRegistry {
  public:
   using Reason = LastReason<RegistryError>;
@@ -34,17 +33,19 @@
 
   std::optional<History> Read(Reason& reason);
 
-  /// Creates the ticket in the store if it is valid and the next one. A lost
-  /// answer is settled by reading the number back.
+  /// Creates the ticket in the store if it is valid and the next one.
   /// @param text YAML, stored as it is.
   std::optional<Acceptance> Submit(std::string_view text, std::string_view file,
                                    Reason& reason);
 
+  platform::StoreClient& client() { return client_; }
+
  private:
   std::optional<Acceptance> Create(const ticket::Ticket& ticket,
                                    std::string_view text, Reason& reason);
   std::optional<Acceptance> Settle(const ticket::Ticket& ticket,
-                                   std::string_view text, Reason& reason);
+                                   std::string_view text, bool own_write,
+                                   Reason& reason);
 
   platform::StoreClient client_;
 };
--- /dev/null
+++ b/packages/registry/src/history.cc
@@ -0,0 +1,43 @@
+#include "cowslip/registry/history.h"
+
+#include <algorithm>
+
+namespace cowslip::registry {
+namespace {
+
+const ticket::FoldedTicket* FindFolded(const History& history,
+                                       TicketNumber number) {
+  const auto found =
+      std::find_if(history.folded.begin(), history.folded.end(),
+                   [&](const auto& folded) { return folded.number == number; });
+  return found == history.folded.end() ? nullptr : &*found;
+}
+
+/// @return the ticket if it is no stray one: what stands below the snapshot
+///     counts only if the snapshot knows it.
+const StoredTicket* FindStored(const History& history, TicketNumber number) {
+  if (number <= history.snapshot) return nullptr;
+  const auto found = history.tickets.find(number);
+  return found == history.tickets.end() ? nullptr : &found->second;
+}
+
+}  // namespace
+
+std::optional<std::string> History::DigestAt(TicketNumber number) const {
+  if (const auto* folded_at = FindFolded(*this, number)) {
+    return folded_at->digest;
+  }
+  const auto* stored = FindStored(*this, number);
+  if (stored == nullptr) return std::nullopt;
+  return ticket::DigestOf(stored->text);
+}
+
+std::string History::AuthorAt(TicketNumber number) const {
+  if (const auto* folded_at = FindFolded(*this, number)) {
+    return folded_at->author;
+  }
+  const auto* stored = FindStored(*this, number);
+  return stored == nullptr ? "unknown" : stored->ticket.author;
+}
+
+}  // namespace cowslip::registry
--- a/packages/registry/src/registry_error.cc
+++ b/packages/registry/src/registry_error.cc
@@ -18,6 +18,8 @@
       return "the store didn't answer; submit again to learn the outcome";
     case RegistryError::kNotFound:
       return "there is no such ticket";
+    case RegistryError::kBadSnapshot:
+      return "the snapshot in the store can't be read";
   }
   return "unknown error";
 }
--- a/packages/ticket/include/cowslip/ticket/ticket.h
+++ b/packages/ticket/include/cowslip/ticket/ticket.h
@@ -26,8 +26,8 @@
   TicketNumber number{};
   std::string author;
   std::string note;
-  std::vector<Service> services;   ///< Created or replaced.
-  std::vector<ServiceId> removed;  ///< Services that end.
+  std::vector<Service> services;     ///< Created or replaced.
+  std::vector<ServiceId> removed;    ///< Services that end.
   std::vector<FoldedTicket> folded;  ///< In a snapshot: the latest tickets.
 };
 
--- a/packages/ticket/src/ticket.cc
+++ b/packages/ticket/src/ticket.cc
@@ -165,8 +165,8 @@
   ticket.removed = ReadRemoved(reader, seen, state, unknown);
   if (snapshot) ticket.folded = ReadFolded(reader);
   reader.Finish();
-  auto kept = state != nullptr ? state->services()
-                               : std::map<ServiceId, Service>{};
+  auto kept =
+      state != nullptr ? state->services() : std::map<ServiceId, Service>{};
   for (const auto id : ticket.removed) kept.erase(id);
   for (const auto& element : elements) kept.erase(element.service.id);
   for (auto& element : elements) {
--- a/packages/ticket/src/ticket_state.cc
+++ b/packages/ticket/src/ticket_state.cc
@@ -72,9 +72,9 @@
   }
   if (!CheckUnique(next.services_, reason)) return std::nullopt;
   if (next.bytes_ > kMaxBytes) {
-    reason.Set(TicketError::kTooLarge,
-               std::to_string(next.bytes_) + " bytes of at most " +
-                   std::to_string(kMaxBytes));
+    reason.Set(TicketError::kTooLarge, std::to_string(next.bytes_) +
+                                           " bytes of at most " +
+                                           std::to_string(kMaxBytes));
     return std::nullopt;
   }
   return next;
