--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -95,7 +95,7 @@
   for (std::uint64_t number = 1; number <= kRounds; ++number) {
     Attempt first;
     const std::chrono::microseconds delay(random() % 2000);
-    std::thread other(
+    std::jthread other(
         [&] { first = SubmitAs(store, number, "quispe", delay); });
     const auto second = SubmitAs(store, number, "nguyen",
                                  std::chrono::microseconds(random() % 2000));
@@ -207,7 +207,7 @@
 BOOST_AUTO_TEST_CASE(ReadersNeverGoBackDuringCompaction) {
   TestStore store;
   std::atomic<bool> done{false};
-  std::thread writer([&] {
+  std::jthread writer([&] {
     auto registry = store.Open();
     for (std::uint64_t number = 1; number <= 30; ++number) {
       Reason reason;
