--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -3,6 +3,7 @@
 #include <thread>
 
 #include "burn_board.h"
+#include "control_metrics.h"
 #include "cowslip/daemon/announcer.h"
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
@@ -81,11 +82,13 @@
   ViewCell views;
   const auto loop = SidecarLoop::Create(settings, *incarnation, views, reason);
   if (loop == nullptr) return false;
-  const auto control = ControlThread::Start(settings.store, views, reason);
+  const auto noticed = [&loop] { return loop->noticed_ticket(); };
+  const auto control = ControlThread::Start(settings, views, noticed, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   const std::vector<const SidecarLoop*> readable{loop.get()};
   metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(readable));
+  metrics.Add(std::make_shared<ControlMetrics>(control->stats()));
   BurnBoard board(settings.objectives);
   auto pages = MakeInstancePages(settings, *control, metrics);
   board.AddPages(settings.instance, pages);
