--- a/packages/base/include/cowslip/base/upstream.h
+++ b/packages/base/include/cowslip/base/upstream.h
@@ -12,6 +12,7 @@
 enum class UpstreamState : std::uint8_t {
   kActive,    ///< Adopts new flows.
   kDraining,  ///< Keeps the flows it owns and adopts none.
+  kDown,      ///< Its process doesn't answer; adopts none until it does.
 };
 
 /// One member of a service: an upstream and the sidecar beside it.
--- a/packages/membership/include/cowslip/membership/announcement.h
+++ b/packages/membership/include/cowslip/membership/announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -17,6 +18,9 @@
   Upstream upstream;
   WallTime started{};  ///< Start of the incarnation; replaces upstream.joined.
   bool dead = false;   ///< Recorded by a peer that confirmed the death.
+  /// Drawn at random by the process that wrote it; tells its own lost write
+  /// from that of another process with the same upstream id.
+  std::uint64_t writer = 0;
 };
 
 /// @return the store key below which all announcements stand.
--- a/packages/membership/include/cowslip/membership/membership_error.h
+++ b/packages/membership/include/cowslip/membership/membership_error.h
@@ -9,6 +9,7 @@
   kBadAnnouncement,
   kSuperseded,
   kStoreUnavailable,
+  kBadOptions,
 };
 
 /// @return one sentence for operators.
--- a/packages/membership/include/cowslip/membership/view.h
+++ b/packages/membership/include/cowslip/membership/view.h
@@ -32,6 +32,8 @@
   TicketNumber ticket() const { return ticket_; }
   const ServiceView* Find(ServiceId id) const;
   const ServiceView* FindAddress(const Endpoint& address) const;
+  /// Looks through all services.
+  const Upstream* FindMember(UpstreamId id) const;
   const std::map<ServiceId, std::shared_ptr<const ServiceView>>& services()
       const {
     return services_;
--- a/packages/membership/src/announcement.cc
+++ b/packages/membership/src/announcement.cc
@@ -10,6 +10,12 @@
 
 constexpr std::string_view kPrefix = "cowslip/upstreams/";
 
+UpstreamState ReadState(const nlohmann::json& json) {
+  if (json.at("draining").get<bool>()) return UpstreamState::kDraining;
+  return json.value("down", false) ? UpstreamState::kDown
+                                   : UpstreamState::kActive;
+}
+
 Announcement FromJson(const nlohmann::json& json) {
   Announcement announcement;
   auto& upstream = announcement.upstream;
@@ -21,12 +27,12 @@
       ParseEndpoint(json.at("sidecar").get<std::string>()).value_or(Endpoint{});
   upstream.slots = json.at("slots").get<std::uint32_t>();
   upstream.weight = json.at("weight").get<double>();
-  upstream.state = json.at("draining").get<bool>() ? UpstreamState::kDraining
-                                                   : UpstreamState::kActive;
+  upstream.state = ReadState(json);
   upstream.data_center = json.at("data_center").get<std::string>();
   announcement.started =
       WallTime(milliseconds(json.at("started_ms").get<std::int64_t>()));
   announcement.dead = json.at("dead").get<bool>();
+  announcement.writer = json.value("writer", std::uint64_t{0});
   return announcement;
 }
 
@@ -51,9 +57,11 @@
       {"slots", upstream.slots},
       {"weight", upstream.weight},
       {"draining", upstream.state == UpstreamState::kDraining},
+      {"down", upstream.state == UpstreamState::kDown},
       {"data_center", upstream.data_center},
       {"started_ms", started.count()},
       {"dead", announcement.dead},
+      {"writer", announcement.writer},
   }
       .dump();
 }
--- /dev/null
+++ b/packages/membership/src/lease_gate.cc
@@ -0,0 +1,51 @@
+#include "cowslip/membership/lease_gate.h"
+
+#include <algorithm>
+
+namespace cowslip::membership {
+
+void LeaseGate::Doubt() {
+  if (state_ == LeaseState::kLost) return;
+  state_ = LeaseState::kDoubtful;
+  ++doubts_;
+  asked_ = false;
+}
+
+void LeaseGate::OnEvent(TimePoint now) {
+  const auto gap = now - last_event_;
+  last_event_ = std::max(last_event_, now);
+  if (gap > lease_) Doubt();
+}
+
+void LeaseGate::OnOwnEntry(const Upstream* entry) {
+  if (entry != nullptr && entry->incarnation == incarnation_) {
+    seen_in_view_ = true;
+    return;
+  }
+  // Views may lag behind the claim: an older entry, or none before the first
+  // own one, says nothing.
+  const bool newer = entry != nullptr && entry->incarnation > incarnation_;
+  const bool vanished = entry == nullptr && seen_in_view_;
+  if (!newer && !vanished) return;
+  seen_in_view_ = false;
+  Doubt();
+}
+
+void LeaseGate::OnInForce(LeaseQuestion answered) {
+  if (state_ != LeaseState::kDoubtful || Raw(answered) != doubts_) return;
+  state_ = LeaseState::kHeld;
+}
+
+void LeaseGate::OnClaimed(Incarnation incarnation) {
+  if (state_ == LeaseState::kLost) return;
+  incarnation_ = incarnation;
+  seen_in_view_ = false;
+}
+
+std::optional<LeaseQuestion> LeaseGate::TakeQuestion() {
+  if (asked_ || state_ != LeaseState::kDoubtful) return std::nullopt;
+  asked_ = true;
+  return LeaseQuestion(doubts_);
+}
+
+}  // namespace cowslip::membership
--- /dev/null
+++ b/packages/membership/src/liveness_monitor.cc
@@ -0,0 +1,276 @@
+#include "cowslip/membership/liveness_monitor.h"
+
+#include <algorithm>
+
+namespace cowslip::membership {
+
+std::optional<LivenessMonitor> LivenessMonitor::Create(
+    const LivenessOptions& options, LastReason<MembershipError>& reason) {
+  const bool usable = options.neighbours > 0 &&
+                      options.retry_period > Duration::zero() &&
+                      options.probe_period >= options.retry_period &&
+                      options.evict_after > options.probe_period;
+  if (usable) return LivenessMonitor(options);
+  reason.Set(MembershipError::kBadOptions, "liveness");
+  return std::nullopt;
+}
+
+LivenessMonitor::LivenessMonitor(const LivenessOptions& options)
+    : options_(options), generator_(options.seed), desk_(options) {}
+
+std::vector<const Upstream*> LivenessMonitor::Successors() const {
+  std::vector<const Upstream*> successors;
+  const auto* service = view_->Find(options_.service);
+  if (service == nullptr) return successors;
+  const auto& members = service->upstreams;
+  const auto after = static_cast<std::size_t>(
+      std::upper_bound(members.begin(), members.end(), options_.id,
+                       [](UpstreamId id, const Upstream& upstream) {
+                         return id < upstream.id;
+                       }) -
+      members.begin());
+  for (std::size_t i = 0; i < members.size(); ++i) {
+    const auto& next = members[(after + i) % members.size()];
+    if (next.id == options_.id) continue;
+    successors.push_back(&next);
+    if (successors.size() == options_.neighbours) break;
+  }
+  return successors;
+}
+
+void LivenessMonitor::OnView(ViewPtr view, TimePoint now) {
+  view_ = std::move(view);
+  std::vector<Target> targets;
+  for (const auto* upstream : Successors()) {
+    const auto* known = FindTarget(upstream->id);
+    const bool same = known != nullptr &&
+                      known->upstream.incarnation == upstream->incarnation;
+    Target target = same ? *known : Target{};
+    if (!same) target.last_heard = now;
+    target.upstream = *upstream;
+    target.distance = targets.size() + 1;
+    targets.push_back(std::move(target));
+  }
+  targets_ = std::move(targets);
+}
+
+const LivenessMonitor::Target* LivenessMonitor::FindTarget(
+    UpstreamId id) const {
+  for (const auto& target : targets_) {
+    if (target.upstream.id == id) return &target;
+  }
+  return nullptr;
+}
+
+LivenessMonitor::Target* LivenessMonitor::FindTarget(UpstreamId id) {
+  return const_cast<Target*>(std::as_const(*this).FindTarget(id));
+}
+
+void LivenessMonitor::OnHeard(UpstreamId id, Incarnation incarnation,
+                              bool leaving, TimePoint now,
+                              LivenessEffects& effects) {
+  desk_.OnHeard(id, incarnation, now, effects);
+  auto* target = FindTarget(id);
+  if (target == nullptr || incarnation < target->upstream.incarnation) return;
+  target->last_heard = now;
+  target->heard = true;
+  target->leaving = leaving;
+  target->inquiry.reset();
+}
+
+void LivenessMonitor::OnQuestion(const AskWitness& question, TimePoint now,
+                                 LivenessEffects& effects) {
+  const auto* subject =
+      view_ == nullptr ? nullptr : view_->FindMember(question.inquiry.subject);
+  desk_.OnQuestion(question, subject, now, effects);
+}
+
+void LivenessMonitor::OnAnswer(UpstreamId witness, const InquiryId& inquiry,
+                               bool reachable, TimePoint now,
+                               LivenessEffects& effects) {
+  auto* target = FindTarget(inquiry.subject);
+  if (target == nullptr || !target->inquiry) return;
+  if (target->inquiry->id() != inquiry) return;
+  target->inquiry->OnAnswer(witness, reachable);
+  Conclude(*target, now, effects);
+}
+
+void LivenessMonitor::OnRecorded(const RecordDeath& record,
+                                 RecordOutcome outcome, TimePoint now) {
+  auto* target = FindTarget(record.subject);
+  if (target == nullptr || target->upstream.incarnation != record.incarnation) {
+    return;
+  }
+  if (outcome == RecordOutcome::kUnavailable) target->recording = false;
+  RetryLater(*target, now);
+}
+
+bool LivenessMonitor::IsSilent(const Target& target, TimePoint now) const {
+  return now - target.last_heard >
+         options_.probe_period + 3 * options_.retry_period;
+}
+
+std::size_t LivenessMonitor::SilentTargets(TimePoint now) const {
+  return static_cast<std::size_t>(std::count_if(
+      targets_.begin(), targets_.end(),
+      [&](const Target& target) { return IsSilent(target, now); }));
+}
+
+bool LivenessMonitor::IsolationSuspected(TimePoint now) const {
+  return SilentTargets(now) * 2 > targets_.size();
+}
+
+bool LivenessMonitor::Avoids(UpstreamId id, TimePoint now) const {
+  const auto* target = FindTarget(id);
+  return target != nullptr && (target->leaving || IsSilent(*target, now));
+}
+
+std::vector<Endpoint> LivenessMonitor::Neighbours() const {
+  std::vector<Endpoint> neighbours;
+  const auto* service =
+      view_ == nullptr ? nullptr : view_->Find(options_.service);
+  if (service == nullptr) return neighbours;
+  const auto& members = service->upstreams;
+  const auto self = std::find_if(
+      members.begin(), members.end(),
+      [&](const Upstream& upstream) { return upstream.id == options_.id; });
+  for (const auto& target : targets_) {
+    neighbours.push_back(target.upstream.sidecar);
+  }
+  if (self == members.end()) return neighbours;
+  const auto own = static_cast<std::size_t>(self - members.begin());
+  const auto others = members.size() - 1;
+  const auto behind =
+      std::min(options_.neighbours, others - std::min(others, targets_.size()));
+  for (std::size_t i = 1; i <= behind; ++i) {
+    neighbours.push_back(
+        members[(own + members.size() - i) % members.size()].sidecar);
+  }
+  return neighbours;
+}
+
+/// Silence that this process slept through proves nothing.
+void LivenessMonitor::Forgive(TimePoint now) {
+  for (auto& target : targets_) {
+    target.last_heard = now;
+    target.inquiry.reset();
+  }
+  desk_.Reset();
+}
+
+void LivenessMonitor::OnTick(TimePoint now, LivenessEffects& effects) {
+  if (last_tick_ && now - *last_tick_ > options_.pause_limit) Forgive(now);
+  last_tick_ = now;
+  desk_.OnTick(now, !IsolationSuspected(now), effects);
+  for (auto& target : targets_) {
+    ProbeIfDue(target, now, effects);
+    StartInquiryIfDue(target, now, effects);
+    Conclude(target, now, effects);
+  }
+}
+
+void LivenessMonitor::ProbeIfDue(Target& target, TimePoint now,
+                                 LivenessEffects& effects) {
+  const auto silence = now - target.last_heard;
+  if (silence < options_.probe_period && target.heard) return;
+  if (now < target.next_probe) return;
+  effects.probes.push_back({target.upstream.sidecar});
+  const bool long_silent = silence > options_.evict_after;
+  target.next_probe =
+      now + (long_silent ? options_.probe_period : options_.retry_period);
+}
+
+void LivenessMonitor::StartInquiryIfDue(Target& target, TimePoint now,
+                                        LivenessEffects& effects) {
+  if (target.inquiry || now < target.next_inquiry) return;
+  const auto patience =
+      target.heard ? options_.evict_after : options_.unheard_grace;
+  const auto delay = options_.stagger * static_cast<int>(target.distance - 1);
+  if (now - target.last_heard < patience + delay) return;
+  const InquiryId id{target.upstream.id, target.upstream.incarnation,
+                     ++rounds_};
+  target.recording = false;
+  target.inquiry.emplace(id, Candidates(target.upstream), now,
+                         options_.answer_timeout);
+  Ask(target, now, effects);
+}
+
+void LivenessMonitor::Ask(Target& target, TimePoint now,
+                          LivenessEffects& effects) {
+  for (const auto& witness : target.inquiry->NextStage(now)) {
+    effects.questions.push_back({witness.sidecar, target.inquiry->id()});
+  }
+}
+
+void LivenessMonitor::Conclude(Target& target, TimePoint now,
+                               LivenessEffects& effects) {
+  if (!target.inquiry || target.recording) return;
+  const bool other_silence = SilentTargets(now) > 1;
+  switch (target.inquiry->Judge(now, other_silence, history_)) {
+    case InquiryVerdict::kOpen:
+      return;
+    case InquiryVerdict::kWiden:
+      Ask(target, now, effects);
+      return;
+    case InquiryVerdict::kConfirmed:
+      effects.records.push_back(
+          {options_.service, target.upstream.id, target.upstream.incarnation});
+      target.recording = true;
+      NoteCount(target.inquiry->count());
+      break;
+    case InquiryVerdict::kUnsettled:
+      NoteCount(target.inquiry->count());
+      break;
+    case InquiryVerdict::kRefuted:
+      break;
+  }
+  RetryLater(target, now);
+}
+
+void LivenessMonitor::NoteCount(const WitnessCount& count) {
+  constexpr double kKept = 0.9;
+  history_.asked = history_.asked * kKept + count.asked;
+  history_.answered = history_.answered * kKept + count.answered;
+}
+
+void LivenessMonitor::RetryLater(Target& target, TimePoint now) {
+  std::uniform_int_distribution<Duration::rep> jitter(
+      0, options_.retry_after.count());
+  target.inquiry.reset();
+  target.next_inquiry =
+      now + options_.retry_after + Duration(jitter(generator_));
+}
+
+/// Members of the service in random order, some of the subject's data centre
+/// first; members of other services fill up a small service.
+std::vector<Witness> LivenessMonitor::Candidates(const Upstream& subject) {
+  std::vector<Witness> own;
+  std::vector<Witness> foreign;
+  for (const auto& [id, service] : view_->services()) {
+    const bool same = id == options_.service;
+    for (const auto& upstream : service->upstreams) {
+      if (upstream.id == subject.id || upstream.id == options_.id) continue;
+      (same ? own : foreign)
+          .push_back({upstream.id, upstream.sidecar,
+                      upstream.data_center == subject.data_center});
+    }
+  }
+  std::shuffle(own.begin(), own.end(), generator_);
+  std::shuffle(foreign.begin(), foreign.end(), generator_);
+  const auto is_local = [](const Witness& witness) { return witness.local; };
+  std::stable_partition(foreign.begin(), foreign.end(), is_local);
+  while (own.size() < DeathInquiry::kFirstStage && !foreign.empty()) {
+    own.push_back(foreign.front());
+    foreign.erase(foreign.begin());
+  }
+  auto front = own.begin();
+  for (std::size_t i = 0; i < DeathInquiry::kLocalFirst; ++i) {
+    const auto local = std::find_if(front, own.end(), is_local);
+    if (local == own.end()) break;
+    std::rotate(front, local, local + 1);
+    ++front;
+  }
+  return own;
+}
+
+}  // namespace cowslip::membership
--- a/packages/membership/src/membership_error.cc
+++ b/packages/membership/src/membership_error.cc
@@ -12,6 +12,8 @@
       return "a newer incarnation of the upstream is announced";
     case MembershipError::kStoreUnavailable:
       return "the store doesn't answer";
+    case MembershipError::kBadOptions:
+      return "the options are unusable";
   }
   return "unknown error";
 }
--- a/packages/membership/src/view.cc
+++ b/packages/membership/src/view.cc
@@ -45,4 +45,12 @@
   return found == by_address_.end() ? nullptr : found->second;
 }
 
+const Upstream* View::FindMember(UpstreamId id) const {
+  for (const auto& [number, service] : services_) {
+    const auto* upstream = service->Find(id);
+    if (upstream != nullptr) return upstream;
+  }
+  return nullptr;
+}
+
 }  // namespace cowslip::membership
--- /dev/null
+++ b/tests/support/liveness_world.cc
@@ -0,0 +1,263 @@
+#include "support/liveness_world.h"
+
+#include <algorithm>
+
+namespace cowslip::test {
+namespace {
+
+using membership::RecordOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr ServiceId kService{1};
+constexpr milliseconds kTick{200};
+constexpr char kTicket[] = R"(
+ticket: 1
+author: test
+note: test
+services:
+  - {id: 1, name: custody, address: "127.53.0.1:5683", protocol: coap, prefer: balance, idle_timeout: 60s}
+)";
+
+ticket::TicketState MakeTickets() {
+  LastReason<ticket::TicketError> reason;
+  const auto parsed = ticket::ParseTicket(kTicket, "ticket", reason);
+  return *ticket::TicketState{}.Apply(*parsed, reason);
+}
+
+}  // namespace
+
+LivenessWorld::LivenessWorld(const Options& options)
+    : options_(options),
+      generator_(options.seed),
+      now_(seconds(1000)),
+      tickets_(MakeTickets()),
+      store_(options.members) {
+  for (std::size_t i = 0; i < options.members; ++i) {
+    Upstream upstream;
+    upstream.id = UpstreamId(static_cast<std::uint32_t>(i + 1));
+    upstream.service = kService;
+    upstream.incarnation = Incarnation(1);
+    upstream.sidecar = {static_cast<std::uint32_t>(i), 7000};
+    upstream.data_center = std::to_string(i % options.data_centers);
+    members_.push_back(
+        {upstream, MakeMonitor(i),
+         membership::LeaseGate(options.lease, Incarnation(1), now_)});
+  }
+  PublishViews();
+}
+
+membership::LivenessMonitor LivenessWorld::MakeMonitor(std::size_t member) {
+  membership::LivenessOptions options;
+  options.id = UpstreamId(static_cast<std::uint32_t>(member + 1));
+  options.service = kService;
+  options.seed = generator_();
+  LastReason<membership::MembershipError> reason;
+  return *membership::LivenessMonitor::Create(options, reason);
+}
+
+Duration LivenessWorld::Latency() {
+  constexpr int kMaxMilliseconds = 20;
+  return milliseconds(1 + generator_() % kMaxMilliseconds);
+}
+
+void LivenessWorld::Post(Message message, Duration delay) {
+  message.at = now_ + delay;
+  message.number = ++posted_;
+  queue_.push(std::move(message));
+}
+
+void LivenessWorld::SendFrame(Message message) {
+  ++frames_;
+  std::uniform_real_distribution<double> chance(0, 1);
+  if (chance(generator_) < options_.loss) return;
+  if (reaches_ && !reaches_(message.from, message.to)) return;
+  Post(std::move(message), Latency());
+}
+
+void LivenessWorld::PublishViews() {
+  std::vector<Upstream> upstreams;
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    if (store_[i].dead) continue;
+    auto upstream = members_[i].upstream;
+    upstream.incarnation = store_[i].incarnation;
+    upstreams.push_back(std::move(upstream));
+  }
+  const auto view = std::make_shared<membership::View>(++epoch_, tickets_,
+                                                       std::move(upstreams));
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    Post({.kind = Kind::kView, .to = i, .view = view}, 10 * Latency());
+  }
+}
+
+void LivenessWorld::Restart(std::size_t member) {
+  auto& record = store_[member];
+  record.incarnation = Incarnation(Raw(record.incarnation) + 1);
+  record.dead = false;
+  auto& restarted = members_[member];
+  restarted.alive = true;
+  restarted.paused = false;
+  restarted.died_asleep = false;
+  restarted.monitor = MakeMonitor(member);
+  restarted.gate =
+      membership::LeaseGate(options_.lease, record.incarnation, now_);
+  restarted.upstream.incarnation = record.incarnation;
+  PublishViews();
+}
+
+std::size_t LivenessWorld::deaths() const {
+  return static_cast<std::size_t>(
+      std::count_if(store_.begin(), store_.end(),
+                    [](const Record& record) { return record.dead; }));
+}
+
+void LivenessWorld::DecideRecord(const Message& message) {
+  const membership::RecordDeath death{kService, message.inquiry.subject,
+                                      message.inquiry.incarnation};
+  auto& reporter = members_[message.from];
+  if (!store_up_) {
+    reporter.monitor.OnRecorded(death, RecordOutcome::kUnavailable, now_);
+    return;
+  }
+  auto& record = store_[Raw(death.subject) - 1];
+  const bool current = record.incarnation == death.incarnation && !record.dead;
+  if (current) {
+    record.dead = true;
+    record.writer = message.from;
+    members_[Raw(death.subject) - 1].died_asleep =
+        members_[Raw(death.subject) - 1].paused;
+    ++record_writes_;
+    PublishViews();
+  }
+  reporter.monitor.OnRecorded(
+      death, current ? RecordOutcome::kWritten : RecordOutcome::kAlready, now_);
+}
+
+void LivenessWorld::Confirm(const Message& message) {
+  auto& member = members_[message.to];
+  auto& record = store_[message.to];
+  if (!store_up_) {
+    Post(message, seconds(1));
+    return;
+  }
+  if (record.incarnation > member.upstream.incarnation) {
+    member.gate.OnSuperseded();
+    return;
+  }
+  if (record.dead) {
+    record.dead = false;
+    record.incarnation = Incarnation(Raw(record.incarnation) + 1);
+    member.upstream.incarnation = record.incarnation;
+    member.died_asleep = false;
+    member.gate.OnClaimed(record.incarnation);
+    PublishViews();
+  }
+  member.gate.OnInForce(message.question);
+}
+
+void LivenessWorld::Deliver(const Message& message) {
+  auto& member = members_[message.to];
+  if (!member.alive || member.paused) return;
+  member.gate.OnEvent(now_);
+  auto& monitor = member.monitor;
+  const auto& sender = members_[message.from].upstream;
+  const auto heard = [&] {
+    monitor.OnHeard(sender.id, sender.incarnation, false, now_, effects_);
+  };
+  switch (message.kind) {
+    case Kind::kProbe:
+      heard();
+      SendFrame({.kind = Kind::kAck, .from = message.to, .to = message.from});
+      break;
+    case Kind::kAck:
+      heard();
+      break;
+    case Kind::kQuestion:
+      heard();
+      monitor.OnQuestion({sender.sidecar, message.inquiry}, now_, effects_);
+      break;
+    case Kind::kAnswer:
+      heard();
+      monitor.OnAnswer(sender.id, message.inquiry, message.reachable, now_,
+                       effects_);
+      break;
+    case Kind::kView: {
+      const auto* service = message.view->Find(kService);
+      member.gate.OnOwnEntry(service->Find(member.upstream.id));
+      monitor.OnView(message.view, now_);
+      break;
+    }
+    case Kind::kConfirm:
+      Confirm(message);
+      break;
+    case Kind::kRecord:
+      break;
+  }
+  CarryOut(message.to);
+}
+
+void LivenessWorld::CarryOut(std::size_t member) {
+  const auto effects = std::move(effects_);
+  effects_ = {};
+  for (const auto& probe : effects.probes) {
+    SendFrame({.kind = Kind::kProbe, .from = member, .to = probe.to.address});
+  }
+  for (const auto& question : effects.questions) {
+    SendFrame({.kind = Kind::kQuestion,
+               .from = member,
+               .to = question.to.address,
+               .inquiry = question.inquiry});
+  }
+  for (const auto& answer : effects.answers) {
+    SendFrame({.kind = Kind::kAnswer,
+               .from = member,
+               .to = answer.to.address,
+               .inquiry = answer.inquiry,
+               .reachable = answer.reachable && liar_ != member});
+  }
+  for (const auto& record : effects.records) {
+    ++record_attempts_;
+    Post({.kind = Kind::kRecord,
+          .from = member,
+          .inquiry = {record.subject, record.incarnation, 0}},
+         store_up_ ? Latency() : seconds(1));
+  }
+  const auto question = members_[member].gate.TakeQuestion();
+  if (question) {
+    Post({.kind = Kind::kConfirm, .to = member, .question = *question},
+         Latency());
+  }
+}
+
+void LivenessWorld::Tick() {
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    auto& member = members_[i];
+    if (!member.alive || member.paused) continue;
+    member.gate.OnEvent(now_);
+    if (member.died_asleep && member.gate.open()) ++stale_openings_;
+    member.monitor.OnTick(now_, effects_);
+    CarryOut(i);
+  }
+}
+
+void LivenessWorld::Run(Duration time) {
+  const auto end = now_ + time;
+  auto next_tick = now_ + kTick;
+  while (now_ < end) {
+    while (!queue_.empty() && queue_.top().at <= next_tick) {
+      const auto message = queue_.top();
+      queue_.pop();
+      now_ = std::max(now_, message.at);
+      if (message.kind == Kind::kRecord) {
+        DecideRecord(message);
+      } else {
+        Deliver(message);
+      }
+    }
+    now_ = next_tick;
+    Tick();
+    next_tick += kTick;
+  }
+}
+
+}  // namespace cowslip::test
