--- a/packages/engine/src/balancer.cc
+++ b/packages/engine/src/balancer.cc
@@ -21,6 +21,20 @@
       contacts_(options.silence),
       counters_(std::make_unique<Counters>()) {}
 
+void Balancer::OnView(membership::ViewPtr view) {
+  view_ = std::move(view);
+  greetings_.OnView(*view_);
+}
+
+void Balancer::OnTick(TimePoint now, BalancerEffects& effects) {
+  if (view_ == nullptr) return;
+  greetings_.Due(*view_, now, [&](const auto& service, const auto& upstream) {
+    counters_->Add(Counter::kProbesSent);
+    effects.frames.push_back(
+        {upstream.sidecar, MakeHeader(FrameKind::kProbe, service), {}});
+  });
+}
+
 FrameHeader Balancer::MakeHeader(FrameKind kind,
                                  const ServiceView& service) const {
   FrameHeader header;
@@ -45,7 +59,12 @@
     silent.Add(upstream.id);
     return true;
   };
-  return flow::TopUpstream(service.upstreams, hash, skip);
+  const auto* answering = flow::TopUpstream(service.upstreams, hash, skip);
+  if (answering != nullptr) return answering;
+  // All are silent: the evidence may be wrong, and nothing better is known.
+  silent = {};
+  const auto none = [](const Upstream&) { return false; };
+  return flow::TopUpstream(service.upstreams, hash, none);
 }
 
 void Balancer::ProbeIfDue(const ServiceView& service, const Upstream& upstream,
@@ -94,6 +113,7 @@
       return;
     case FrameKind::kProbeAck:
       contacts_.OnHeard(UpstreamId(header.sender), now);
+      greetings_.OnHeard(UpstreamId(header.sender));
       return;
     default:
       return;
--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -19,13 +19,18 @@
                       coap_new_optlist(number, value.size(), ToBytes(value)));
 }
 
-void AddPath(coap_optlist_t*& list, std::string_view path) {
+/// @param target path, and a query after a question mark.
+void AddTarget(coap_optlist_t*& list, std::string_view target) {
+  const auto mark = std::min(target.find('?'), target.size());
+  auto path = target.substr(0, mark);
   while (!path.empty()) {
     const auto end = std::min(path.find('/'), path.size());
     const auto segment = path.substr(0, std::min(end, kSegmentBytes));
     if (!segment.empty()) AddOption(list, COAP_OPTION_URI_PATH, segment);
     path.remove_prefix(std::min(end + 1, path.size()));
   }
+  if (mark == target.size()) return;
+  AddOption(list, COAP_OPTION_URI_QUERY, target.substr(mark + 1));
 }
 
 std::string CodeText(coap_pdu_code_t code) {
@@ -55,6 +60,19 @@
   return text;
 }
 
+/// @return false for a single block of a larger body, which libcoap passes on
+/// if it has no state for the transfer (any more).
+bool IsWhole(const coap_pdu_t* message) {
+  constexpr unsigned kSmallestBlockBits = 4;
+  coap_block_t block{};
+  if (coap_get_block(message, COAP_OPTION_BLOCK2, &block) == 0) return true;
+  const std::size_t bytes_before = std::size_t{block.num}
+                                   << (block.szx + kSmallestBlockBits);
+  const bool has_earlier_blocks =
+      block.num == 0 || Payload(message).size() > bytes_before;
+  return block.m == 0 && has_earlier_blocks;
+}
+
 CoapResponse ToResponse(const coap_pdu_t* message) {
   constexpr unsigned kFirstErrorClass = 4;
   const auto code = coap_pdu_get_code(message);
@@ -109,6 +127,14 @@
   return client;
 }
 
+void CoapClient::SetAckTimeout(milliseconds timeout) {
+  const auto seconds = timeout.count() / 1000;
+  const auto thousandths = timeout.count() % 1000;
+  coap_session_set_ack_timeout(session_.get(),
+                               {static_cast<std::uint16_t>(seconds),
+                                static_cast<std::uint16_t>(thousandths)});
+}
+
 bool CoapClient::Send(const CoapRequest& request) {
   coap_session_t* session = session_.get();
   coap_pdu_t* pdu = coap_new_pdu(COAP_MESSAGE_CON, request.method, session);
@@ -119,7 +145,7 @@
   coap_add_token(pdu, token_size, token.data());
   coap_optlist_t* options = nullptr;
   if (request.observe) AddOption(options, COAP_OPTION_OBSERVE, {});
-  AddPath(options, request.path);
+  AddTarget(options, request.path);
   coap_add_optlist_pdu(pdu, &options);
   const CoapOptionList owner(options);
   if (!request.payload.empty()) {
@@ -158,9 +184,8 @@
       coap_get_app_data(coap_session_get_context(session)));
   // libcoap repeats a challenged request by itself, once, and passes only a
   // later challenge on.
-  if (client.on_response_) {
-    client.receiving_ = client.on_response_(ToResponse(received));
-  }
+  const bool is_wanted = client.on_response_ && IsWhole(received);
+  if (is_wanted) client.receiving_ = client.on_response_(ToResponse(received));
   return COAP_RESPONSE_OK;
 }
 
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -1,9 +1,9 @@
 #include <xxhash.h>
 
-#include <array>
-#include <cstdio>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
+#include <sstream>
 
 #include "standins/caller/coap_client.h"
 #include "standins/caller/datagram_caller.h"
@@ -30,6 +30,9 @@
   --out FILE       Receives the notifications instead of the standard output.
   --timeout-s N    Limit of one exchange [default: 30].
   --local ADDRESS  Address and port to send from.
+  --ack-timeout-ms N  Time before the first retransmission [default: 2000].
+
+PATH may have a query, as in /feed?name.
 
 Exit codes: 0 the whole answer came, 3 timeout, 4 CoAP error response.
 )";
@@ -48,6 +51,7 @@
   auto client = CoapClient::Create(arguments.Address("ADDRESS"),
                                    Local(arguments), reason);
   if (!client) Fail(reason.Message());
+  client->SetAckTimeout(arguments.Milliseconds("--ack-timeout-ms"));
   return client;
 }
 
@@ -59,10 +63,10 @@
 }
 
 std::string Digest(const std::string& bytes) {
-  std::array<char, 17> text;
-  const unsigned long long digest = XXH3_64bits(bytes.data(), bytes.size());
-  std::snprintf(text.data(), text.size(), "%016llx", digest);
-  return text.data();
+  std::ostringstream text;
+  text << std::hex << std::setw(16) << std::setfill('0')
+       << XXH3_64bits(bytes.data(), bytes.size());
+  return text.str();
 }
 
 void PrintAnswer(const CoapResponse& response, bool is_fetch) {
