Sidecars keep their place: lease gate, probes and deaths wired into engine and daemon

A paused sidecar admits nothing until the store has confirmed its incarnation; a recorded death makes it claim a new one, a superseded one ends.

--- a/packages/daemon/include/cowslip/daemon/daemon_error.h
+++ b/packages/daemon/include/cowslip/daemon/daemon_error.h
@@ -10,6 +10,7 @@
   kStore,
   kHttp,
   kEngine,
+  kSuperseded,
 };
 
 /// @return one sentence for operators.
--- a/packages/daemon/src/daemon_error.cc
+++ b/packages/daemon/src/daemon_error.cc
@@ -14,6 +14,8 @@
       return "the HTTP face can't be started";
     case DaemonError::kEngine:
       return "the engine refuses its options";
+    case DaemonError::kSuperseded:
+      return "another process has taken the upstream id";
   }
   return "unknown error";
 }
--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -7,8 +7,10 @@
 #include "cowslip/daemon/control_thread.h"
 #include "cowslip/daemon/engine_metrics.h"
 #include "cowslip/daemon/http_face.h"
+#include "cowslip/daemon/membership_thread.h"
 #include "cowslip/daemon/sidecar_loop.h"
 #include "instance_pages.h"
+#include "sidecar_health.h"
 #include "stop_signal.h"
 
 namespace cowslip::daemon {
@@ -19,23 +21,39 @@
 
 constexpr std::chrono::milliseconds kClaimRetry{500};
 constexpr std::chrono::milliseconds kDrainPoll{50};
+/// Time for others to hear that this sidecar leaves.
+constexpr std::chrono::seconds kLeaveGrace{2};
+/// Kept from the drain timeout for the store.
+constexpr std::chrono::milliseconds kWithdrawLimit{900};
 
-std::optional<Incarnation> ClaimUntilStopped(Announcer& announcer,
-                                             const StopSignal& stop) {
+std::optional<Claimed> ClaimUntilStopped(Announcer& announcer,
+                                         const StopSignal& stop) {
   while (true) {
     LastReason<DaemonError> reason;
+    const auto begun = std::chrono::steady_clock::now();
     const auto incarnation = announcer.Claim(reason);
-    if (incarnation) return incarnation;
+    if (incarnation) return Claimed{*incarnation, begun};
     Log(Level::kWarn, "announcement_failed", {{"reason", reason.Message()}});
     if (stop.WaitFor(kClaimRetry)) return std::nullopt;
   }
 }
 
-/// Waits until no flow and no request is left, or the time is over.
-void WaitForDrain(const SidecarLoop& loop, std::chrono::milliseconds limit,
+/// Waits until no flow and no request is left and the processes that may not
+/// have heard have had time to, or until the time is over.
+void WaitForDrain(const SidecarLoop& loop, TimePoint deadline,
                   const StopSignal& stop) {
-  const auto deadline = std::chrono::steady_clock::now() + limit;
-  while (loop.remaining() > 0 && std::chrono::steady_clock::now() < deadline) {
+  const auto grace = std::chrono::steady_clock::now() + kLeaveGrace;
+  while (std::chrono::steady_clock::now() < deadline) {
+    const bool heard = std::chrono::steady_clock::now() >= grace;
+    if (heard && loop.remaining() == 0) return;
+    if (stop.WaitFor(kDrainPoll)) return;
+  }
+}
+
+/// Waits for the requests in progress; flows belong to others already.
+void WaitForRuns(const SidecarLoop& loop, TimePoint deadline,
+                 const StopSignal& stop) {
+  while (loop.runs() > 0 && std::chrono::steady_clock::now() < deadline) {
     if (stop.WaitFor(kDrainPoll)) return;
   }
 }
@@ -56,17 +74,32 @@
   std::thread thread_;
 };
 
-void Drain(Announcer& announcer, SidecarLoop& loop,
+void Drain(MembershipThread& members, SidecarLoop& loop,
            const settings::DaemonSettings& settings, const StopSignal& stop) {
-  LastReason<DaemonError> reason;
+  const auto deadline =
+      std::chrono::steady_clock::now() + settings.drain_timeout;
   loop.Drain();
-  if (!announcer.AnnounceDraining(reason)) {
-    Log(Level::kWarn, "announcement_failed", {{"reason", reason.Message()}});
-  }
-  WaitForDrain(loop, settings.drain_timeout, stop);
-  if (!announcer.Withdraw(reason)) {
-    Log(Level::kWarn, "announcement_failed", {{"reason", reason.Message()}});
+  members.Drain();
+  WaitForDrain(loop, deadline - kWithdrawLimit, stop);
+  if (!members.Withdraw(kWithdrawLimit)) Log(Level::kWarn, "not_withdrawn");
+}
+
+/// Serves until a signal, or until another process takes the id.
+bool Serve(MembershipThread& members, SidecarLoop& loop, BurnBoard& board,
+           const settings::DaemonSettings& settings, const StopSignal& stop,
+           LastReason<DaemonError>& reason) {
+  const TrafficThread thread(loop);
+  board.SampleUntilStopped(stop, std::vector<const SidecarLoop*>{&loop});
+  if (loop.lease() == membership::LeaseState::kLost) {
+    WaitForRuns(loop, std::chrono::steady_clock::now() + settings.drain_timeout,
+                stop);
+    reason.Set(DaemonError::kSuperseded);
+    return false;
   }
+  Log(Level::kInfo, "sidecar_draining", {{"flows", loop.remaining()}});
+  Drain(members, loop, settings, stop);
+  Log(Level::kInfo, "sidecar_stopped", {{"flows_left", loop.remaining()}});
+  return true;
 }
 
 }  // namespace
@@ -76,30 +109,35 @@
   const StopSignal stop;
   auto announcer = Announcer::Create(settings, reason);
   if (!announcer) return false;
-  const auto incarnation = ClaimUntilStopped(*announcer, stop);
-  if (!incarnation) return true;
   ViewCell views;
-  const auto loop = SidecarLoop::Create(settings, *incarnation, views, reason);
-  if (loop == nullptr) return false;
   const auto control = ControlThread::Start(settings.store, views, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
-  const std::vector<const SidecarLoop*> readable{loop.get()};
-  metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(readable));
+  SidecarHealth health;
   BurnBoard board(settings.objectives);
   auto pages = MakeInstancePages(settings, *control, metrics);
   board.AddPages(settings.instance, pages);
-  const auto face = HttpFace::Start(settings.http, pages, reason);
+  pages.health = [&health, instance = pages.health] {
+    return health.Judge(instance());
+  };
+  // The face comes before the claim, which may take as long as an outage.
+  auto face = HttpFace::Start(settings.http, pages, reason);
   if (face == nullptr) return false;
-  const TrafficThread thread(*loop);
+  const auto claimed = ClaimUntilStopped(*announcer, stop);
+  if (!claimed) return true;
+  MembershipThread members(std::move(*announcer));
+  const auto loop =
+      SidecarLoop::Create(settings, *claimed, views, members, reason);
+  if (loop == nullptr) return false;
+  metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(
+      std::vector<const SidecarLoop*>{loop.get()}));
+  health.SetLoop(loop.get());
   Log(Level::kInfo, "sidecar_started",
-      {{"incarnation", Raw(*incarnation)},
+      {{"incarnation", Raw(claimed->incarnation)},
        {"frames", ToString(settings.sidecar->frames)}});
-  board.SampleUntilStopped(stop, readable);
-  Log(Level::kInfo, "sidecar_draining", {{"flows", loop->remaining()}});
-  Drain(*announcer, *loop, settings, stop);
-  Log(Level::kInfo, "sidecar_stopped", {{"flows_left", loop->remaining()}});
-  return true;
+  const bool planned = Serve(members, *loop, board, settings, stop, reason);
+  face.reset();
+  return planned;
 }
 
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/sidecar_loop.cc
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -4,16 +4,24 @@
 #include <sys/socket.h>
 
 #include "cowslip/telemetry.h"
+#include "stop_signal.h"
 
 namespace cowslip::daemon {
 namespace {
 
 constexpr std::uint64_t kFramesTag = 0;
+constexpr std::uint64_t kProbeTag = ~0ULL;
 constexpr std::chrono::milliseconds kPollInterval{10};
 /// Datagrams older than this were queued while the process was stopped.
 constexpr std::chrono::milliseconds kMaxQueueTime{500};
 
 std::uint64_t ToTag(flow::FlowSlot slot) { return Raw(slot) + 1ULL; }
+permit::PermitKey DrawPermitKey() {
+  permit::PermitKey key{};
+  RAND_bytes(key.data(), static_cast<int>(key.size()));
+  return key;
+}
+
 flow::FlowSlot FromTag(std::uint64_t tag) {
   return flow::FlowSlot(static_cast<std::uint32_t>(tag - 1));
 }
@@ -21,18 +29,21 @@
 }  // namespace
 
 std::unique_ptr<SidecarLoop> SidecarLoop::Create(
-    const settings::DaemonSettings& settings, Incarnation incarnation,
-    ViewCell& views, LastReason<DaemonError>& reason) {
+    const settings::DaemonSettings& settings, const Claimed& claimed,
+    ViewCell& views, MembershipThread& members,
+    LastReason<DaemonError>& reason) {
   const auto& own = *settings.sidecar;
   engine::SidecarOptions options;
   options.id = own.id;
   options.service = own.service;
-  options.incarnation = incarnation;
+  options.incarnation = claimed.incarnation;
+  options.claimed = claimed.begun;
   options.started = std::chrono::steady_clock::now();
   options.slots = own.slots;
   options.slow_start = own.slow_start;
-  RAND_bytes(options.permit_key.data(),
-             static_cast<int>(options.permit_key.size()));
+  options.permit_key = DrawPermitKey();
+  RAND_bytes(reinterpret_cast<unsigned char*>(&options.seed),
+             sizeof options.seed);
   LastReason<engine::EngineError> engine_reason;
   LastReason<link::LinkError> link_reason;
   auto sidecar = engine::Sidecar::Create(options, engine_reason);
@@ -47,15 +58,17 @@
     return nullptr;
   }
   return std::unique_ptr<SidecarLoop>(
-      new SidecarLoop(settings, views, std::move(*sidecar), std::move(*codec),
-                      std::move(*frames)));
+      new SidecarLoop(settings, views, members, std::move(*sidecar),
+                      std::move(*codec), std::move(*frames)));
 }
 
 SidecarLoop::SidecarLoop(const settings::DaemonSettings& settings,
-                         ViewCell& views, engine::Sidecar sidecar,
-                         link::FrameCodec codec, link::DatagramSocket frames)
+                         ViewCell& views, MembershipThread& members,
+                         engine::Sidecar sidecar, link::FrameCodec codec,
+                         link::DatagramSocket frames)
     : settings_(settings),
       views_(views),
+      members_(members),
       sidecar_(std::move(sidecar)),
       codec_(std::move(codec)),
       frames_(std::move(frames)) {
@@ -73,19 +86,28 @@
 void SidecarLoop::Run() {
   while (!stopping_) {
     AdoptView(std::chrono::steady_clock::now());
-    if (drain_requested_.exchange(false)) sidecar_.StartDrain();
+    if (drain_requested_.exchange(false)) {
+      sidecar_.StartDrain(effects_);
+      CarryOut();
+    }
     const auto ready = poller_.Wait(kPollInterval);
     const auto now = std::chrono::steady_clock::now();
     for (const auto tag : ready) {
       if (tag == kFramesTag) {
         ReadFrames(now);
+      } else if (tag == kProbeTag) {
+        ReadProbeSocket(now);
       } else {
         ReadUpstream(FromTag(tag), now);
       }
     }
     sidecar_.OnTick(now, effects_);
     CarryOut();
+    TakeAnswers(now);
     remaining_ = sidecar_.flow_count() + sidecar_.runs_in_progress();
+    runs_ = sidecar_.runs_in_progress();
+    lease_ = sidecar_.lease();
+    upstream_down_ = sidecar_.upstream_down();
   }
 }
 
@@ -163,7 +185,79 @@
   for (const auto& fetch : effects_.fetches) {
     noticed_ = std::max(noticed_.load(), Raw(fetch.number));
   }
+  PostRequests();
   effects_.Clear();
 }
 
+void SidecarLoop::PostRequests() {
+  if (effects_.lease_question) {
+    telemetry::Log(telemetry::Level::kWarn, "lease_in_doubt",
+                   {{"incarnation", Raw(sidecar_.incarnation())}});
+    members_.Post(ConfirmLease{*effects_.lease_question});
+  }
+  for (const auto& death : effects_.deaths) {
+    members_.Post(RecordPeerDeath{death, std::chrono::steady_clock::now()});
+  }
+  if (effects_.announcement) {
+    const bool down = *effects_.announcement == UpstreamState::kDown;
+    telemetry::Log(telemetry::Level::kWarn,
+                   down ? "upstream_down" : "upstream_up");
+    members_.Post(AnnounceState{*effects_.announcement});
+  }
+  if (effects_.upstream_probe) ProbeUpstream(*effects_.upstream_probe);
+}
+
+void SidecarLoop::ProbeUpstream(ByteView probe) {
+  if (!probe_socket_) {
+    LastReason<link::LinkError> reason;
+    probe_socket_ =
+        link::DatagramSocket::Connect(settings_.sidecar->upstream, reason);
+    if (!probe_socket_) return;
+    poller_.Add(probe_socket_->fd(), kProbeTag);
+  }
+  if (send(probe_socket_->fd(), probe.data(), probe.size(), MSG_DONTWAIT) < 0) {
+    ++dropped_;
+  }
+}
+
+void SidecarLoop::ReadProbeSocket(TimePoint now) {
+  bool refused = false;
+  const auto count = receive_.Receive(*probe_socket_, refused);
+  if (refused || count > 0) sidecar_.OnUpstreamProbed(refused, now);
+}
+
+void SidecarLoop::TakeAnswers(TimePoint now) {
+  for (const auto& answer : members_.TakeAnswers()) {
+    if (const auto* lease = std::get_if<LeaseAnswer>(&answer)) {
+      OnLeaseAnswer(*lease, now);
+    } else if (const auto* death = std::get_if<DeathAnswer>(&answer)) {
+      sidecar_.OnDeathRecorded(death->death, death->outcome, now);
+    } else if (const auto* hint = std::get_if<HealthHint>(&answer)) {
+      sidecar_.OnHealthHint(hint->healthy, now);
+    }
+  }
+}
+
+void SidecarLoop::OnLeaseAnswer(const LeaseAnswer& answer, TimePoint now) {
+  using telemetry::Level;
+  const telemetry::Field incarnation("incarnation", Raw(answer.incarnation));
+  switch (answer.standing) {
+    case Standing::kInForce:
+      telemetry::Log(Level::kInfo, "lease_confirmed", {incarnation});
+      break;
+    case Standing::kClaimed:
+      telemetry::Log(Level::kWarn, "incarnation_claimed", {incarnation});
+      sidecar_.BeginIncarnation(answer.incarnation, DrawPermitKey(), now,
+                                effects_);
+      CarryOut();
+      break;
+    case Standing::kSuperseded:
+      telemetry::Log(Level::kError, "incarnation_superseded", {incarnation});
+      sidecar_.OnSuperseded();
+      StopSignal::Raise();
+      return;
+  }
+  sidecar_.OnLeaseInForce(answer.question, now);
+}
+
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/stop_signal.cc
+++ b/packages/daemon/src/stop_signal.cc
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <time.h>
+#include <unistd.h>
 
 namespace cowslip::daemon {
 namespace {
@@ -31,4 +32,6 @@
   return sigtimedwait(&signals, nullptr, &limit) > 0;
 }
 
+void StopSignal::Raise() { kill(getpid(), SIGTERM); }
+
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/stop_signal.h
+++ b/packages/daemon/src/stop_signal.h
@@ -12,6 +12,8 @@
 
   /// @return whether a signal came within the time.
   bool WaitFor(std::chrono::milliseconds time) const;
+  /// Makes the process stop as if it had received SIGTERM. From any thread.
+  static void Raise();
 };
 
 }  // namespace cowslip::daemon
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,6 +9,7 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/member_role.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/run_table.h"
 #include "cowslip/engine/sidecar_effects.h"
@@ -24,6 +25,8 @@
   ServiceId service{};
   Incarnation incarnation{};
   TimePoint started{};
+  /// When the claim of the incarnation was begun; absent: at the first event.
+  std::optional<TimePoint> claimed;
   std::uint32_t slots = 1;
   permit::PermitKey permit_key{};  ///< Drawn at random for the incarnation.
   std::size_t permit_capacity = 100'000;
@@ -33,6 +36,8 @@
   /// A pause between two events longer than this makes the sidecar refuse new
   /// work until it is confirmed.
   Duration lease{std::chrono::seconds(5)};
+  bool watch_members = true;  ///< Probe neighbours and record deaths.
+  std::uint64_t seed = 1;     ///< Of the choice of witnesses.
 };
 
 /// Decides what a sidecar does with each datagram: which flows its upstream
@@ -53,7 +58,26 @@
   /// Call it every 10 to 100 ms.
   void OnTick(TimePoint now, SidecarEffects& effects);
   /// Stops adopting flows; those that live go on until they end.
-  void StartDrain() { draining_ = true; }
+  void StartDrain(SidecarEffects& effects);
+
+  // Membership: sidecar_members.cc.
+  /// The store was asked again and names this incarnation, alive.
+  void OnLeaseInForce(membership::LeaseQuestion question, TimePoint now);
+  /// Another process has taken the id: nothing new from now on.
+  void OnSuperseded();
+  /// Goes on under a new incarnation, after the death of the old one was
+  /// recorded. Flows, runs and permits of the old one end.
+  void BeginIncarnation(Incarnation incarnation, const permit::PermitKey& key,
+                        TimePoint now, SidecarEffects& effects);
+  void OnDeathRecorded(const membership::RecordDeath& record,
+                       membership::RecordOutcome outcome, TimePoint now);
+  /// Outcome of SidecarEffects::upstream_probe: any answer, or a refusal.
+  void OnUpstreamProbed(bool refused, TimePoint now);
+  /// What the health endpoint of the upstream says.
+  void OnHealthHint(bool healthy, TimePoint now);
+  membership::LeaseState lease() const { return members_.lease(); }
+  bool upstream_down() const { return members_.upstream_down(); }
+  Incarnation incarnation() const { return options_.incarnation; }
 
   bool draining() const { return draining_; }
   std::size_t flow_count() const { return flows_.size(); }
@@ -64,6 +88,11 @@
  private:
   Sidecar(const SidecarOptions& options, flow::FlowTable flows);
 
+  static MemberRole MakeRole(const SidecarOptions& options);
+  bool AdmitsWork() const;
+  void OnMemberFrame(const link::FrameHeader& header, const Endpoint& from,
+                     TimePoint now, SidecarEffects& effects);
+
   // Flows: sidecar_flows.cc.
   void OnCallerData(const link::Frame& frame, const Endpoint& from,
                     TimePoint now, SidecarEffects& effects);
@@ -103,6 +132,8 @@
                    SidecarEffects& effects);
   void Run(flow::FlowSlot slot, coap::Message& request,
            permit::PermitNumber number, TimePoint now, SidecarEffects& effects);
+  void RefuseRun(flow::FlowSlot slot, const coap::Message& request,
+                 permit::PermitNumber number, SidecarEffects& effects);
   void Challenge(flow::FlowSlot slot, const coap::Message& request,
                  TimePoint now, SidecarEffects& effects);
   void FinishRun(const RunTable::Run& run, const coap::Message& outcome,
@@ -130,6 +161,7 @@
   permit::PermitIssuer issuer_;
   permit::PermitTable permits_;
   RunTable runs_;
+  MemberRole members_;
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
--- a/packages/engine/include/cowslip/engine/sidecar_effects.h
+++ b/packages/engine/include/cowslip/engine/sidecar_effects.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <optional>
 #include <vector>
 
 #include "cowslip/engine/effects.h"
 #include "cowslip/flow.h"
+#include "cowslip/membership.h"
 
 namespace cowslip::engine {
 
@@ -24,6 +26,14 @@
   std::vector<CloseUpstream> closes;
   std::vector<SendToUpstream> datagrams;
   std::vector<FetchTicket> fetches;
+  std::vector<membership::RecordDeath> deaths;
+  /// Read the own announcement, then call Sidecar::OnLeaseInForce(),
+  /// OnSuperseded() or BeginIncarnation().
+  std::optional<membership::LeaseQuestion> lease_question;
+  /// Announce this state of the upstream.
+  std::optional<UpstreamState> announcement;
+  /// Send this to the upstream on a socket apart from those of the flows.
+  std::optional<ByteView> upstream_probe;
   Scratch scratch;
 
   /// Empties the buffer and keeps its memory.
@@ -32,6 +42,10 @@
     closes.clear();
     datagrams.clear();
     fetches.clear();
+    deaths.clear();
+    lease_question.reset();
+    announcement.reset();
+    upstream_probe.reset();
     scratch.Clear();
   }
 };
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -106,7 +106,9 @@
 }
 
 bool Sidecar::CanAdopt(TimePoint now) const {
-  if (draining_ || flows_.size() >= service_->service.max_flows) return false;
+  if (!AdmitsWork() || flows_.size() >= service_->service.max_flows) {
+    return false;
+  }
   if (service_->service.protocol == ticket::Protocol::kDatagram) return true;
   return admission_.Judge(now) == flow::Verdict::kAdmit;
 }
@@ -116,7 +118,7 @@
   const auto& header = frame.header;
   const bool full = flows_.size() >= service_->service.max_flows;
   const auto slot =
-      full || draining_ ? std::nullopt : flows_.Insert(header.flow, now);
+      full || !AdmitsWork() ? std::nullopt : flows_.Insert(header.flow, now);
   if (!slot) {
     counters_->Add(Counter::kFlowsRefused);
     return;
@@ -134,6 +136,7 @@
     if (visited.full()) break;
     if (upstream->id == options_.id || visited.Contains(upstream->id)) continue;
     if (upstream->state != UpstreamState::kActive) continue;
+    if (members_.Avoids(upstream->id, now)) continue;
     counters_->Add(Counter::kFlowsPassedOn);
     redirects_.Learn(frame.header.flow, upstream->id, upstream->incarnation,
                      now);
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -25,13 +25,16 @@
       admission_({options.slots, 0, options.slow_start}, options.started),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
+      members_(MakeRole(options)),
       counters_(std::make_unique<Counters>()),
       replies_(*counters_) {}
 
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
   view_ = std::move(view);
+  members_.OnView(view_, options_.id, options_.service, now);
   const auto* before = service_;
   service_ = view_->Find(options_.service);
   if (service_ == nullptr) return;
@@ -89,6 +92,7 @@
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
   now_ = now;
+  members_.OnEvent(now);
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
@@ -102,12 +106,12 @@
       redirects_.Learn(header.flow, UpstreamId(header.sender),
                        header.incarnation, now);
       return;
-    case FrameKind::kProbe: {
-      auto answer = MakeHeader(FrameKind::kProbeAck);
-      answer.sequence = header.sequence;
-      effects.frames.push_back({from, answer, {}});
+    case FrameKind::kProbe:
+    case FrameKind::kProbeAck:
+    case FrameKind::kDeathQuery:
+    case FrameKind::kDeathAnswer:
+      OnMemberFrame(header, from, now, effects);
       return;
-    }
     case FrameKind::kReplyAck:
       replies_.OnAck(header);
       return;
@@ -122,6 +126,8 @@
 void Sidecar::OnUpstreamDatagram(flow::FlowSlot slot, ByteView payload,
                                  TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
+  members_.upstream().OnAnswered(now);
   bool matters = false;
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
@@ -146,8 +152,11 @@
 
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
   replies_.Expire(now, effects);
   if (service_ == nullptr) return;
+  members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
+                  now, effects);
   ExpireRuns(now, effects);
   ExpireFlows(now, effects);
   redirects_.Expire(now);
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -67,6 +67,10 @@
                              request.token};
   switch (permits_.Begin(permit, id, now)) {
     case RunDecision::kRun:
+      if (members_.lease() != membership::LeaseState::kHeld) {
+        RefuseRun(slot, request, permit.number, effects);
+        return;
+      }
       Run(slot, request, permit.number, now, effects);
       return;
     case RunDecision::kInProgress:
@@ -86,6 +90,17 @@
   }
 }
 
+/// The permit is spent without a run: this incarnation may be superseded.
+void Sidecar::RefuseRun(flow::FlowSlot slot, const Message& request,
+                        permit::PermitNumber number, SidecarEffects& effects) {
+  counters_->Add(Counter::kNotRun);
+  LastReason<coap::CoapError> reason;
+  auto bytes =
+      coap::Encode(coap::MakeUnavailable(request, kRetryAfter), reason);
+  if (!bytes || !permits_.Finish(number, *bytes)) return;
+  Reply(slot, effects.scratch.Keep(std::move(*bytes)), effects);
+}
+
 void Sidecar::Run(flow::FlowSlot slot, Message& request,
                   permit::PermitNumber number, TimePoint now,
                   SidecarEffects& effects) {
@@ -104,7 +119,7 @@
 void Sidecar::Challenge(flow::FlowSlot slot, const Message& request,
                         TimePoint now, SidecarEffects& effects) {
   const auto expires = now + permit::PermitIssuer::kLifetime;
-  const bool room = !draining_ &&
+  const bool room = AdmitsWork() &&
                     admission_.Judge(now) != flow::Verdict::kShed &&
                     permits_.Reserve(now, expires);
   if (!room) {
@@ -143,6 +158,8 @@
 void Sidecar::OnUpstreamRefused(flow::FlowSlot slot, TimePoint now,
                                 SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
+  members_.upstream().OnRefused(now);
   if (flows_.Holds(slot)) FailRuns(slot, effects);
 }
 
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -33,9 +33,11 @@
   kFlagMustTake = 1 << 4,   ///< Least-queued choice: queue or shed, no passing.
   kFlagReachable = 1 << 5,  ///< kDeathAnswer: the upstream was reached.
   kFlagByRedirect = 1 << 6,  ///< Forwarded by an upstream that knows the owner.
+  kFlagLeaving = 1 << 7,     ///< kProbeAck: the sender takes no new work.
 };
 
-/// The least loaded of the full upstreams that a frame has passed.
+/// The least loaded of the full upstreams that a frame has passed. On
+/// kDeathQuery and kDeathAnswer: the subject of the inquiry and its round.
 struct LeastQueued {
   UpstreamId upstream{};
   std::uint32_t queue = 0;  ///< Requests waiting there.
@@ -50,8 +52,10 @@
   std::uint32_t sender = 0;   ///< Raw UpstreamId or BalancerId of the sender.
   Incarnation incarnation{};  ///< Of the sending upstream.
   FlowKey flow;
-  Endpoint balancer;           ///< Where replies to the caller should go.
-  std::uint64_t sequence = 0;  ///< Pairs a question with its answer.
+  Endpoint balancer;  ///< Where replies to the caller should go.
+  /// Pairs a question with its answer. On kDeathQuery and kDeathAnswer: the
+  /// incarnation of the subject.
+  std::uint64_t sequence = 0;
   VisitedList visited;
   LeastQueued least_queued;  ///< Meaningful with kFlagPassedOn.
 
--- a/packages/membership/include/cowslip/membership/lease_gate.h
+++ b/packages/membership/include/cowslip/membership/lease_gate.h
@@ -23,8 +23,10 @@
 /// Call OnEvent() before anything else that an event leads to.
 class LeaseGate {
  public:
-  LeaseGate(Duration lease, Incarnation incarnation, TimePoint started)
-      : lease_(lease), incarnation_(incarnation), last_event_(started) {}
+  /// @param claimed when the claim was begun; absent: at the first event.
+  LeaseGate(Duration lease, Incarnation incarnation,
+            std::optional<TimePoint> claimed)
+      : lease_(lease), incarnation_(incarnation), last_event_(claimed) {}
 
   /// A gap longer than the lease since the last event raises a doubt.
   void OnEvent(TimePoint now);
@@ -46,7 +48,7 @@
 
   Duration lease_;
   Incarnation incarnation_;
-  TimePoint last_event_;
+  std::optional<TimePoint> last_event_;
   LeaseState state_ = LeaseState::kHeld;
   std::uint64_t doubts_ = 0;
   bool asked_ = true;
--- a/packages/membership/src/lease_gate.cc
+++ b/packages/membership/src/lease_gate.cc
@@ -12,8 +12,8 @@
 }
 
 void LeaseGate::OnEvent(TimePoint now) {
-  const auto gap = now - last_event_;
-  last_event_ = std::max(last_event_, now);
+  const auto gap = now - last_event_.value_or(now);
+  last_event_ = std::max(last_event_.value_or(now), now);
   if (gap > lease_) Doubt();
 }
 
--- a/tests/support/permit_world.cc
+++ b/tests/support/permit_world.cc
@@ -170,6 +170,7 @@
 
 bool PermitWorld::ApplyToFirst(Fault fault) {
   auto& first = sides_[0];
+  engine::SidecarEffects effects;
   switch (fault) {
     case Fault::kCrashSidecar:
       first.incarnation = Incarnation(Raw(first.incarnation) + 1);
@@ -182,7 +183,7 @@
       return true;
     case Fault::kDrain:
       if (first.sidecar->draining()) return false;
-      first.sidecar->StartDrain();
+      first.sidecar->StartDrain(effects);
       return true;
     default:
       return false;
--- a/tests/support/virtual_network.cc
+++ b/tests/support/virtual_network.cc
@@ -190,6 +190,12 @@
     if (on_upstream) on_upstream(process.id, datagram.slot, datagram.payload);
   }
   if (!effects.fetches.empty()) PublishTo(at);
+  if (!effects.lease_question) return;
+  const auto member = members_.find(process.id);
+  const bool in_force =
+      member != members_.end() &&
+      member->second.incarnation == process.sidecar->incarnation();
+  if (in_force) process.sidecar->OnLeaseInForce(*effects.lease_question, now_);
 }
 
 void VirtualNetwork::Send(const engine::SendFrame& frame,
