--- a/packages/daemon/include/cowslip/daemon/control_thread.h
+++ b/packages/daemon/include/cowslip/daemon/control_thread.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <atomic>
-#include <functional>
 #include <memory>
 #include <thread>
 
@@ -23,12 +22,9 @@
 /// views.
 class ControlThread {
  public:
-  /// @return the highest ticket number seen on data frames.
-  using NoticedTicket = std::function<TicketNumber()>;
-
   static std::unique_ptr<ControlThread> Start(
       const settings::DaemonSettings& settings, ViewCell& views,
-      NoticedTicket noticed, LastReason<DaemonError>& reason);
+      LastReason<DaemonError>& reason);
   ~ControlThread();
 
   /// @return whether tickets can come from the store, at first hand or by
@@ -38,7 +34,7 @@
   const ControlStats& stats() const { return stats_; }
 
  private:
-  ControlThread(ViewCell& views, NoticedTicket noticed);
+  explicit ControlThread(ViewCell& views);
   bool Open(const settings::DaemonSettings& settings,
             LastReason<DaemonError>& reason);
   void Run();
@@ -49,7 +45,6 @@
   void UpdateStats();
 
   ViewCell& views_;
-  NoticedTicket noticed_;
   ControlStats stats_;
   ControlState state_;
   std::unique_ptr<Mailbox> mailbox_;
--- a/packages/daemon/src/balancer_daemon.cc
+++ b/packages/daemon/src/balancer_daemon.cc
@@ -56,14 +56,7 @@
     if (loops.back() == nullptr) return false;
     readable.push_back(loops.back().get());
   }
-  const auto noticed = [&readable] {
-    TicketNumber highest{};
-    for (const auto* loop : readable) {
-      highest = std::max(highest, loop->noticed_ticket());
-    }
-    return highest;
-  };
-  const auto control = ControlThread::Start(settings, views, noticed, reason);
+  const auto control = ControlThread::Start(settings, views, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<EngineMetrics<BalancerLoop>>(readable));
