--- a/packages/engine/src/sidecar_members.cc
+++ b/packages/engine/src/sidecar_members.cc
@@ -24,7 +24,9 @@
   return {gate, MakeMonitor(options)};
 }
 
-bool Sidecar::AdmitsWork() const { return !draining_ && members_.Admits(); }
+bool Sidecar::AdmitsWork() const {
+  return !draining_ && now_ >= refused_until_ && members_.Admits();
+}
 
 void Sidecar::OnMemberFrame(const link::FrameHeader& header,
                             const Endpoint& from, TimePoint now,
--- a/tests/support/permit_world.h
+++ b/tests/support/permit_world.h
@@ -9,7 +9,7 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine.h"
 
-namespace cowslip::test {
+namespace cowslip::testing {
 
 /// What differs between two explorations.
 struct PermitScenario {
@@ -103,4 +103,4 @@
   int runs_ = 0;
 };
 
-}  // namespace cowslip::test
+}  // namespace cowslip::testing
