Experiment tool; what its first runs showed

cowslip-experiment runs the real engines and the baselines on one workload in virtual time and prints a table and an SVG plot.

Causes, each mended and measured: - guest flows counted against max_flows until the idle timeout, so that every upstream looked full: guests have a list of their own and end after 10 s without a request. Ruled out: requests left in progress (none at the end of a run).

--- /dev/null
+++ b/experiments/engine_run.cc
@@ -0,0 +1,238 @@
+#include "experiments/engine_run.h"
+
+#include <cstring>
+
+namespace cowslip::experiments {
+namespace {
+
+using coap::Code;
+using coap::Message;
+using coap::OptionNumber;
+using testing::VirtualNetwork;
+
+constexpr ServiceId kService{1};
+constexpr Endpoint kAddress{0x7f350001, 5683};
+constexpr std::uint32_t kBalancers = 3;
+constexpr std::uint32_t kFirstCaller = 0x0a000000;
+constexpr std::size_t kFeedTokenBytes = 5;
+constexpr std::uint32_t kSidecarNetwork = 0x7f15;
+constexpr int kNetworkShift = 16;
+/// Time after the last arrival for answers to come.
+constexpr std::chrono::seconds kTail{30};
+
+Bytes ToToken(std::uint32_t number) {
+  Bytes token(sizeof number);
+  std::memcpy(token.data(), &number, sizeof number);
+  return token;
+}
+
+std::uint32_t FromToken(const Bytes& token) {
+  std::uint32_t number = 0;
+  std::memcpy(&number, token.data(), sizeof number);
+  return number;
+}
+
+Bytes Encoded(const Message& message) {
+  LastReason<coap::CoapError> reason;
+  return coap::Encode(message, reason).value();
+}
+
+}  // namespace
+
+EngineRun::EngineRun(const EngineOptions& options, const Deployment& deployment,
+                     const Workload& workload)
+    : options_(options),
+      deployment_(deployment),
+      workload_(workload),
+      network_(options.seed) {
+  result_.policy = options.name;
+  ticket::Service service;
+  service.id = kService;
+  service.name = deployment.name;
+  service.address = kAddress;
+  service.protocol = ticket::Protocol::kCoap;
+  service.prefer = options.prefer;
+  service.max_queue = options.max_queue;
+  network_.services()[kService] = service;
+  for (std::uint32_t id = 1; id <= kBalancers; ++id) {
+    engine::BalancerOptions balancer;
+    balancer.id = BalancerId(id);
+    balancer.hint_capacity = 1 << 14;
+    network_.AddBalancer(balancer);
+  }
+  for (std::size_t i = 0; i < deployment.speeds.size(); ++i) {
+    StartUpstream(i, 1);
+    auto& member =
+        network_.members()[UpstreamId(static_cast<std::uint32_t>(i + 1))];
+    member.joined -= std::chrono::minutes(30);
+  }
+  network_.on_upstream = [this](auto id, auto slot, auto payload) {
+    OnUpstream(id, slot, payload);
+  };
+  network_.on_caller = [this](const auto&, auto payload) { OnCaller(payload); };
+  network_.on_frame = [this](const auto& frame, const auto& from) {
+    OnFrame(frame, from);
+  };
+}
+
+void EngineRun::StartUpstream(std::size_t index, std::uint64_t incarnation) {
+  engine::SidecarOptions options;
+  options.id = UpstreamId(static_cast<std::uint32_t>(index + 1));
+  options.service = kService;
+  options.incarnation = Incarnation(incarnation);
+  options.slots = deployment_.slots;
+  options.slow_start = incarnation > 1 ? options_.slow_start : Duration{};
+  options.permit_key.fill(static_cast<std::uint8_t>(index + incarnation));
+  network_.StartSidecar(options);
+  if (index < models_.size()) return;
+  const auto& speeds = deployment_.speeds;
+  models_.emplace_back(deployment_.slots, speeds[index % speeds.size()]);
+}
+
+void EngineRun::Apply(const Change& change) {
+  const auto id = UpstreamId(static_cast<std::uint32_t>(change.upstream + 1));
+  switch (change.kind) {
+    case Change::Kind::kJoin:
+      StartUpstream(models_.size(), 1);
+      break;
+    case Change::Kind::kDrain:
+      network_.members()[id].state = UpstreamState::kDraining;
+      network_.sidecar(id).StartDrain();
+      break;
+    case Change::Kind::kRestart:
+      Restart(change.upstream);
+      break;
+    case Change::Kind::kTicket:
+      network_.services()[kService].max_queue += 1;
+      network_.ticket() = TicketNumber(Raw(network_.ticket()) + 1);
+      break;
+  }
+  network_.Publish();
+}
+
+void EngineRun::Restart(std::size_t index) {
+  const auto speed = models_[index].speed();
+  models_[index].SetSpeed(speed * options_.cold_speed);
+  StartUpstream(index, 2);
+  network_.After(kColdTime,
+                 [this, index, speed] { models_[index].SetSpeed(speed); });
+}
+
+Result EngineRun::Run() {
+  network_.Publish();
+  network_.RunFor(std::chrono::seconds(1));
+  start_ = network_.now();
+  for (const auto& change : options_.changes) {
+    network_.After(change.at, [this, change] { Apply(change); });
+  }
+  for (std::size_t i = 0; i < workload_.jobs.size(); ++i) {
+    network_.After(workload_.jobs[i].arrival, [this, i] { SendJob(i); });
+  }
+  network_.RunFor(workload_.length + kTail);
+  for (const auto& model : models_) {
+    result_.capacity.push_back(model.speed());
+    result_.utilisation.push_back(std::chrono::duration<double>(model.busy()) /
+                                  (workload_.length * model.slots()));
+  }
+  result_.lost = result_.offered - result_.shed - answered_;
+  result_.broken_flows = broken_.size();
+  return result_;
+}
+
+void EngineRun::SendJob(std::size_t index) {
+  ++result_.offered;
+  const auto flow = workload_.jobs[index].flow;
+  if (known_flows_.insert(flow).second) {
+    opening_flows_.insert(flow);
+    ++result_.new_flows;
+  }
+  if (options_.feeds) RenewFeed(flow);
+  SendPost(index, nullptr);
+}
+
+void EngineRun::SendPost(std::size_t index, const Bytes* echo) {
+  Message post;
+  post.code = Code::kPost;
+  post.message_id = next_message_id_++;
+  post.token = ToToken(static_cast<std::uint32_t>(index));
+  if (echo != nullptr) post.SetOption(OptionNumber::kEcho, *echo);
+  Send(workload_.jobs[index].flow, post);
+}
+
+void EngineRun::RenewFeed(std::uint32_t flow) {
+  Message get;
+  get.code = Code::kGet;
+  get.message_id = next_message_id_++;
+  get.token = ToToken(flow);
+  get.token.resize(kFeedTokenBytes);
+  get.SetUint(OptionNumber::kObserve, 0);
+  Send(flow, get);
+}
+
+void EngineRun::Send(std::uint32_t flow, const Message& message) {
+  const auto balancer = static_cast<std::uint32_t>(network_.Draw(kBalancers));
+  network_.SendFromCaller(VirtualNetwork::BalancerAt(balancer + 1),
+                          {{kFirstCaller + flow, 1}, kAddress},
+                          Encoded(message));
+}
+
+void EngineRun::OnUpstream(UpstreamId id, flow::FlowSlot slot,
+                           ByteView payload) {
+  LastReason<coap::CoapError> reason;
+  const auto request = coap::Parse(payload, reason);
+  if (!request || !request->IsRequest()) return;
+  if (request->code != Code::kPost) {
+    OnFeed(id, slot, *request);
+    return;
+  }
+  const auto& job = workload_.jobs[FromToken(request->token)];
+  const auto service = models_[Raw(id) - 1].Add(job, Elapsed());
+  result_.served.push_back({job.arrival, service.wait});
+  auto answer = Encoded(coap::MakeResponse(*request, Code::kContent));
+  network_.After(service.finish - Elapsed(),
+                 [this, id, slot, answer = std::move(answer)] {
+                   network_.SendFromUpstream(id, slot, answer);
+                 });
+}
+
+void EngineRun::OnFeed(UpstreamId id, flow::FlowSlot slot,
+                       const Message& request) {
+  const auto flow = FromToken(request.token);
+  const auto [place, first] = feeds_.emplace(flow, id);
+  if (!first && place->second != id) broken_.insert(flow);
+  auto response = coap::MakeResponse(request, Code::kContent);
+  response.SetUint(OptionNumber::kObserve, 1);
+  network_.After(std::chrono::microseconds(1),
+                 [this, id, slot, answer = Encoded(response)] {
+                   network_.SendFromUpstream(id, slot, answer);
+                 });
+}
+
+void EngineRun::OnCaller(ByteView payload) {
+  LastReason<coap::CoapError> reason;
+  const auto response = coap::Parse(payload, reason);
+  if (!response || response->token.size() == kFeedTokenBytes) return;
+  const auto index = FromToken(response->token);
+  opening_flows_.erase(workload_.jobs[index].flow);
+  const auto* echo = response->Find(OptionNumber::kEcho);
+  if (echo != nullptr) {
+    SendPost(index, &echo->value);
+  } else if (response->code == Code::kContent) {
+    ++answered_;
+  } else {
+    ++result_.shed;
+  }
+}
+
+void EngineRun::OnFrame(const engine::SendFrame& frame, const Endpoint& from) {
+  if (frame.header.kind != link::FrameKind::kCallerData) return;
+  if (from.address >> kNetworkShift != kSidecarNetwork) return;
+  const auto flow = frame.header.flow.caller.address - kFirstCaller;
+  if (opening_flows_.contains(flow)) {
+    ++result_.new_flow_hops;
+  } else {
+    ++result_.other_hops;
+  }
+}
+
+}  // namespace cowslip::experiments
--- a/packages/engine/include/cowslip/engine/run_table.h
+++ b/packages/engine/include/cowslip/engine/run_table.h
@@ -29,6 +29,7 @@
   }
   /// Removes and returns the run that a response with this token answers.
   std::optional<Run> Take(flow::FlowSlot slot, const Bytes& token);
+  bool HasAny(flow::FlowSlot slot) const;
   std::vector<Run> TakeOverdue(TimePoint now);
   std::vector<Run> TakeAll(flow::FlowSlot slot);
   std::size_t size() const { return runs_.size(); }
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,6 +9,7 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -65,6 +66,7 @@
   std::size_t runs_in_progress() const {
     return runs_.size() + requests_.waiting();
   }
+  const flow::Admission& admission() const { return admission_; }
   const Counters& counters() const { return *counters_; }
 
  private:
@@ -84,6 +86,7 @@
                     SidecarEffects& effects);
   void Settle(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   bool CanAdopt(TimePoint now);
+  bool IsFull() const;
   void Adopt(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void PassOn(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void Forward(const link::Frame& frame, const Upstream& to,
@@ -96,6 +99,7 @@
                         SidecarEffects& effects);
   void ServeGuest(const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
+  void ExpireGuests(TimePoint now, SidecarEffects& effects);
   void ExpireFlows(TimePoint now, SidecarEffects& effects);
   void EndFlow(flow::FlowSlot slot, SidecarEffects& effects);
 
@@ -110,7 +114,8 @@
                    const permit::Permit& permit, TimePoint now,
                    SidecarEffects& effects);
   void Run(flow::FlowSlot slot, coap::Message& request,
-           permit::PermitNumber number, TimePoint now, SidecarEffects& effects);
+           const permit::Permit& permit, TimePoint now,
+           SidecarEffects& effects);
   void Challenge(flow::FlowSlot slot, const coap::Message& request,
                  TimePoint now, SidecarEffects& effects);
   void OnUnpermitted(flow::FlowSlot slot, const coap::Message& request,
@@ -164,6 +169,8 @@
   RunTable runs_;
   RequestTable requests_;
   TransferTable transfers_;
+  GuestList guests_;
+  std::size_t guest_count_ = 0;
   RetryBudget retries_;
   TimePoint refused_until_{};  ///< The upstream is taken for dead until then.
   bool draining_ = false;
--- a/packages/engine/src/run_table.cc
+++ b/packages/engine/src/run_table.cc
@@ -15,6 +15,11 @@
   return std::move(node.mapped());
 }
 
+bool RunTable::HasAny(flow::FlowSlot slot) const {
+  const auto first = runs_.lower_bound({slot, {}});
+  return first != runs_.end() && first->first.first == slot;
+}
+
 std::vector<RunTable::Run> RunTable::TakeOverdue(TimePoint now) {
   std::vector<Run> overdue;
   for (auto it = runs_.begin(); it != runs_.end();) {
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -109,7 +109,7 @@
 
 bool Sidecar::CanAdopt(TimePoint now) {
   if (draining_ || now < refused_until_) return false;
-  if (flows_.size() >= service_->service.max_flows) return false;
+  if (IsFull()) return false;
   if (service_->service.protocol == ticket::Protocol::kDatagram) return true;
   return admission_.Judge(now) == flow::Verdict::kAdmit;
 }
@@ -117,11 +117,12 @@
 void Sidecar::Adopt(const Frame& frame, TimePoint now,
                     SidecarEffects& effects) {
   const auto& header = frame.header;
-  const bool full = flows_.size() >= service_->service.max_flows;
+  const bool full = IsFull();
   auto slot = flows_.Find(header.flow);
-  if (slot) {
+  if (slot && !full) {
     flows_.At(*slot).guest = false;
-  } else if (!full && !draining_) {
+    --guest_count_;
+  } else if (!slot && !full && !draining_) {
     slot = flows_.Insert(header.flow, now);
   }
   if (!slot) {
@@ -151,7 +152,10 @@
     counters_->Add(Counter::kFlowsRefused);
     return;
   }
-  flows_.At(*slot).guest = true;
+  auto& flow = flows_.At(*slot);
+  if (!flow.guest) ++guest_count_;
+  flow.guest = true;
+  guests_.Add(*slot, flow.key, now);
   ServeOwned(*slot, frame, now, effects);
 }
 
@@ -219,6 +223,20 @@
   }
 }
 
+bool Sidecar::IsFull() const {
+  return flows_.size() - guest_count_ >= service_->service.max_flows;
+}
+
+void Sidecar::ExpireGuests(TimePoint now, SidecarEffects& effects) {
+  while (const auto guest = guests_.TakeIdle(flows_, now)) {
+    if (runs_.HasAny(*guest)) {
+      guests_.Add(*guest, flows_.At(*guest).key, now);
+    } else {
+      EndFlow(*guest, effects);
+    }
+  }
+}
+
 void Sidecar::ExpireFlows(TimePoint now, SidecarEffects& effects) {
   while (const auto oldest = flows_.Oldest()) {
     if (now - flows_.At(*oldest).last_active < IdleTimeout()) return;
@@ -234,6 +252,7 @@
     admission_.OnAbandoned(now_);
   }
   transfers_.Forget(slot);
+  if (flows_.At(slot).guest) --guest_count_;
   flows_.Erase(slot);
   effects.closes.push_back({slot});
 }
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -150,6 +150,7 @@
   if (service_ == nullptr) return;
   ExpireRuns(now, effects);
   ExpireRequests(now);
+  ExpireGuests(now, effects);
   ExpireFlows(now, effects);
   redirects_.Expire(now);
   permits_.Expire(now);
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -46,7 +46,7 @@
     const auto* other = service_->Find(named->upstream);
     const bool alive = other != nullptr && other->id != options_.id &&
                        other->incarnation == named->incarnation;
-    if (alive && !frame.header.visited.Contains(other->id)) {
+    if (alive) {
       Forward(frame, *other, link::kFlagGuest | link::kFlagWalkDone, effects);
       return;
     }
@@ -74,7 +74,7 @@
                              request.token};
   switch (permits_.Begin(permit, id, now)) {
     case RunDecision::kRun:
-      Run(slot, request, permit.number, now, effects);
+      Run(slot, request, permit, now, effects);
       return;
     case RunDecision::kInProgress:
       return;
@@ -93,9 +93,8 @@
   }
 }
 
-void Sidecar::Run(flow::FlowSlot slot, Message& request,
-                  permit::PermitNumber number, TimePoint now,
-                  SidecarEffects& effects) {
+void Sidecar::Run(flow::FlowSlot slot, Message& request, const Permit& permit,
+                  TimePoint now, SidecarEffects& effects) {
   counters_->Add(Counter::kRuns);
   request.RemoveOption(OptionNumber::kEcho);
   LastReason<coap::CoapError> reason;
@@ -104,10 +103,10 @@
     effects.datagrams.push_back(
         {slot, effects.scratch.Keep(std::move(*bytes))});
   }
-  admission_.OnPromiseKept();
+  admission_.OnPromiseKept(permit.expires - permit::PermitIssuer::kLifetime);
   const auto work = admission_.OnStarted(now);
-  runs_.Add(
-      {slot, number, request, now + service_->service.request_timeout, work});
+  runs_.Add({slot, permit.number, request,
+             now + service_->service.request_timeout, work});
 }
 
 /// Grants a permit, or passes the request to an upstream that has room.
--- a/packages/flow/include/cowslip/flow/admission.h
+++ b/packages/flow/include/cowslip/flow/admission.h
@@ -46,11 +46,10 @@
   /// @return where a new piece of work should go.
   Verdict Judge(TimePoint now);
   /// A caller was told to come back: a place is kept for it.
-  void OnPromised(TimePoint now) { promises_.push_back(now + kPromiseTime); }
+  void OnPromised(TimePoint now);
   /// The caller came back.
-  void OnPromiseKept() {
-    if (!promises_.empty()) promises_.pop_front();
-  }
+  /// @param promised when it was told to, to the microsecond.
+  void OnPromiseKept(TimePoint promised);
   Work OnStarted(TimePoint now);
   void OnFinished(const Work& work, TimePoint now);
   /// A request ended without telling anything about the service time.
--- a/packages/flow/src/admission.cc
+++ b/packages/flow/src/admission.cc
@@ -27,6 +27,18 @@
   return in_progress_ + static_cast<std::uint32_t>(promises_.size());
 }
 
+void Admission::OnPromised(TimePoint now) {
+  const auto promised = std::chrono::floor<std::chrono::microseconds>(now);
+  promises_.push_back(promised + kPromiseTime);
+}
+
+void Admission::OnPromiseKept(TimePoint promised) {
+  const auto expires =
+      std::chrono::floor<std::chrono::microseconds>(promised) + kPromiseTime;
+  const auto found = std::find(promises_.begin(), promises_.end(), expires);
+  if (found != promises_.end()) promises_.erase(found);
+}
+
 Verdict Admission::Judge(TimePoint now) {
   const auto work = load(now);
   const auto slots = usable_slots(now);
