Walks: live flows are found through joins, restarts, drains and deaths

Probes of a suspicion now follow each other by time, every 50 ms, and 8 must stay unanswered; a pause of 300 ms or of the own process is none. - A silent member in the visited list closed the walk as if it had been asked, and could be returned to as adopter. The frame tells silent from visited. - An asked member's age was judged by the next one's stale view. It judged itself, and went on; only the own age closes a walk now. - A redirect to an incarnation newer than the view was forgotten. - Crossed walks left two owners. The lower id judges: the earlier adopter wins, the lower id if both adopted within 2 s; one judge, so both can't yield. - A last hop unknown to the owner's view got no redirect; it gets one now. - Passing on skipped members that were only asked who owns the flow. Redirects are renewed by use, and renewed ones no longer add to the age queue.

Ruled out: remembering flows that one walks for (arbitration covers it), the earlier adopter by each side's own judgement (both can yield).

--- a/packages/engine/include/cowslip/engine/balancer.h
+++ b/packages/engine/include/cowslip/engine/balancer.h
@@ -19,8 +19,7 @@
   Endpoint frames;  ///< Where sidecars send replies.
   std::size_t hint_capacity = 1 << 19;
   flow::SilenceLimits silence{std::chrono::milliseconds(100),
-                              std::chrono::milliseconds(400),
-                              std::chrono::milliseconds(100)};
+                              std::chrono::milliseconds(50), 8};
 };
 
 /// A caller's datagram as it arrived on a service's address.
@@ -61,6 +60,8 @@
   void ProbeIfDue(const membership::ServiceView& service,
                   const Upstream& upstream, TimePoint now,
                   BalancerEffects& effects);
+  void SendProbe(const membership::ServiceView& service,
+                 const Upstream& upstream, BalancerEffects& effects);
   void OnReply(const link::Frame& frame, const Endpoint& from, TimePoint now,
                BalancerEffects& effects);
   link::FrameHeader MakeHeader(link::FrameKind kind,
--- a/packages/engine/include/cowslip/engine/counters.h
+++ b/packages/engine/include/cowslip/engine/counters.h
@@ -36,6 +36,7 @@
   kHandoversSent,
   kHandoversTaken,
   kRepliesNotKept,
+  kFlowsYielded,
   kCount,
 };
 
--- a/packages/engine/include/cowslip/engine/greetings.h
+++ b/packages/engine/include/cowslip/engine/greetings.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <map>
-#include <utility>
+#include <vector>
 
 #include "cowslip/base.h"
 #include "cowslip/membership.h"
@@ -18,7 +18,14 @@
   static constexpr std::size_t kBatch = 32;
 
   /// Adds the upstreams that are new, and forgets those that have left.
-  void OnView(const membership::View& view);
+  /// @param on_change called with each upstream that is new, has restarted or
+  ///     has left.
+  template <typename OnChange>
+  void OnView(const membership::View& view, const OnChange& on_change) {
+    for (const auto id : Update(view)) on_change(id);
+  }
+  /// @return the service of an upstream in the view, or no valid id.
+  ServiceId ServiceOf(UpstreamId id) const;
   /// Notes that a sidecar has answered.
   void OnHeard(UpstreamId id);
 
@@ -54,7 +61,14 @@
     int tries = 0;
   };
 
-  std::map<UpstreamId, Incarnation> known_;
+  struct Known {
+    Incarnation incarnation{};
+    ServiceId service{};
+  };
+
+  std::vector<UpstreamId> Update(const membership::View& view);
+
+  std::map<UpstreamId, Known> known_;
   std::map<UpstreamId, Pending> pending_;
 };
 
--- a/packages/engine/include/cowslip/engine/run_table.h
+++ b/packages/engine/include/cowslip/engine/run_table.h
@@ -27,6 +27,7 @@
   std::optional<Run> Take(flow::FlowSlot slot, const Bytes& token);
   std::vector<Run> TakeOverdue(TimePoint now);
   std::vector<Run> TakeAll(flow::FlowSlot slot);
+  bool Has(flow::FlowSlot slot) const;
   std::size_t size() const { return runs_.size(); }
 
  private:
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -30,6 +30,10 @@
   std::size_t redirect_capacity = 200'000;
   Duration slow_start{};
   Duration clock_skew{std::chrono::seconds(1)};
+  /// Longest time by which views of the members differ.
+  Duration view_lag{std::chrono::seconds(5)};
+  flow::SilenceLimits silence{std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(50), 8};
   /// A pause between two events longer than this makes the sidecar refuse new
   /// work until it is confirmed.
   Duration lease{std::chrono::seconds(5)};
@@ -56,6 +60,7 @@
   void StartDrain() { draining_ = true; }
 
   bool draining() const { return draining_; }
+  bool Owns(const FlowKey& key) const;
   std::size_t flow_count() const { return flows_.size(); }
   std::size_t known_balancers() const { return replies_.known_balancers(); }
   std::size_t runs_in_progress() const { return runs_.size(); }
@@ -82,15 +87,29 @@
   void PassOn(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void Forward(const link::Frame& frame, const Upstream& to,
                std::uint8_t extra_flags, SidecarEffects& effects);
+  void SendProbe(const Upstream& to, SidecarEffects& effects);
+  void ProbeSuspects(SidecarEffects& effects);
   void ServeOwned(flow::FlowSlot slot, const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
-  void AnnounceOwnership(flow::Flow& flow, const link::VisitedList& visited,
-                         TimePoint now, SidecarEffects& effects);
-  void RefreshRedirects(flow::Flow& flow, TimePoint now,
-                        SidecarEffects& effects);
+  const Upstream* FirstToAdopt(const link::FrameHeader& header);
   void ExpireFlows(TimePoint now, SidecarEffects& effects);
   void EndFlow(flow::FlowSlot slot, SidecarEffects& effects);
 
+  // Ownership: sidecar_ownership.cc.
+  link::FrameHeader MakeRedirect(const flow::Flow& flow) const;
+  void SendRedirect(const flow::Flow& flow, const Endpoint& to,
+                    SidecarEffects& effects);
+  void AnnounceOwnership(const flow::Flow& flow,
+                         const link::FrameHeader& header,
+                         SidecarEffects& effects);
+  void RefreshRedirects(flow::Flow& flow, SidecarEffects& effects);
+  void OnRedirect(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void Arbitrate(flow::FlowSlot slot, const link::Frame& frame,
+                 const Endpoint& from, SidecarEffects& effects);
+  void Yield(flow::FlowSlot slot, const link::Frame& frame,
+             SidecarEffects& effects);
+
   // Requests: sidecar_requests.cc.
   void OnCallerMessage(flow::FlowSlot slot, ByteView payload,
                        const link::Frame& frame, TimePoint now,
@@ -111,6 +130,7 @@
   void FailRuns(flow::FlowSlot slot, SidecarEffects& effects);
 
   // Frames: sidecar_frames.cc.
+  void ForgetRestarted(const membership::ServiceView* before);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
   void Reply(flow::FlowSlot slot, ByteView payload, SidecarEffects& effects);
   void SendReply(flow::FlowSlot slot, ByteView payload, bool matters,
@@ -127,6 +147,7 @@
   flow::RedirectTable redirects_;
   flow::Admission admission_;
   flow::Ranking ranking_;
+  flow::ContactTable contacts_;
   permit::PermitIssuer issuer_;
   permit::PermitTable permits_;
   RunTable runs_;
@@ -134,6 +155,7 @@
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
   TimePoint now_{};  ///< Of the latest event.
+  Endpoint from_;    ///< Sender of the latest frame.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/balancer.cc
+++ b/packages/engine/src/balancer.cc
@@ -23,15 +23,18 @@
 
 void Balancer::OnView(membership::ViewPtr view) {
   view_ = std::move(view);
-  greetings_.OnView(*view_);
+  greetings_.OnView(*view_, [&](UpstreamId id) { contacts_.Remove(id); });
 }
 
 void Balancer::OnTick(TimePoint now, BalancerEffects& effects) {
   if (view_ == nullptr) return;
+  for (const auto id : contacts_.TakeDue(now)) {
+    const auto* service = view_->Find(greetings_.ServiceOf(id));
+    const auto* upstream = service == nullptr ? nullptr : service->Find(id);
+    if (upstream != nullptr) SendProbe(*service, *upstream, effects);
+  }
   greetings_.Due(*view_, now, [&](const auto& service, const auto& upstream) {
-    counters_->Add(Counter::kProbesSent);
-    effects.frames.push_back(
-        {upstream.sidecar, MakeHeader(FrameKind::kProbe, service), {}});
+    SendProbe(service, upstream, effects);
   });
 }
 
@@ -52,11 +55,11 @@
   const auto hint = hints_.Find(key, hash, now);
   if (hint) {
     const auto* upstream = service.Find(*hint);
-    if (upstream != nullptr && !contacts_.IsSilent(*hint, now)) return upstream;
+    if (upstream != nullptr && !contacts_.IsSilent(*hint)) return upstream;
   }
   const auto skip = [&](const Upstream& upstream) {
-    if (!contacts_.IsSilent(upstream.id, now)) return false;
-    silent.Add(upstream.id);
+    if (!contacts_.IsSilent(upstream.id)) return false;
+    silent.AddSilent(upstream.id);
     return true;
   };
   return flow::TopUpstream(service.upstreams, hash, skip);
@@ -64,7 +67,11 @@
 
 void Balancer::ProbeIfDue(const ServiceView& service, const Upstream& upstream,
                           TimePoint now, BalancerEffects& effects) {
-  if (!contacts_.OnSent(upstream.id, now)) return;
+  if (contacts_.OnSent(upstream.id, now)) SendProbe(service, upstream, effects);
+}
+
+void Balancer::SendProbe(const ServiceView& service, const Upstream& upstream,
+                         BalancerEffects& effects) {
   counters_->Add(Counter::kProbesSent);
   effects.frames.push_back(
       {upstream.sidecar, MakeHeader(FrameKind::kProbe, service), {}});
@@ -107,7 +114,7 @@
       OnReply(frame, from, now, effects);
       return;
     case FrameKind::kProbeAck:
-      contacts_.OnHeard(UpstreamId(header.sender), now);
+      contacts_.OnHeard(UpstreamId(header.sender));
       greetings_.OnHeard(UpstreamId(header.sender));
       return;
     default:
@@ -118,7 +125,7 @@
 void Balancer::OnReply(const link::Frame& frame, const Endpoint& from,
                        TimePoint now, BalancerEffects& effects) {
   const auto& header = frame.header;
-  contacts_.OnHeard(UpstreamId(header.sender), now);
+  contacts_.OnHeard(UpstreamId(header.sender));
   const auto* service = view_->FindAddress(header.flow.service);
   if (service == nullptr || service->service.id != header.service) {
     counters_->Add(Counter::kDropWrongService);
--- a/packages/engine/src/counters.cc
+++ b/packages/engine/src/counters.cc
@@ -33,6 +33,7 @@
         "handovers_sent",
         "handovers_taken",
         "replies_not_kept",
+        "flows_yielded",
     };
 
 }  // namespace
--- a/packages/engine/src/greetings.cc
+++ b/packages/engine/src/greetings.cc
@@ -1,20 +1,32 @@
 #include "cowslip/engine/greetings.h"
 
+#include <utility>
+
 namespace cowslip::engine {
 
-void Greetings::OnView(const membership::View& view) {
-  std::map<UpstreamId, Incarnation> present;
-  for (const auto& [id, service] : view.services()) {
-    for (const auto& upstream : service->upstreams) {
-      present[upstream.id] = upstream.incarnation;
-      const auto found = known_.find(upstream.id);
-      if (found != known_.end() && found->second == upstream.incarnation) {
-        continue;
-      }
-      pending_[upstream.id] = {id, {}, 0};
+std::vector<UpstreamId> Greetings::Update(const membership::View& view) {
+  std::vector<UpstreamId> changed;
+  std::map<UpstreamId, Known> present;
+  for (const auto& [service, entry] : view.services()) {
+    for (const auto& upstream : entry->upstreams) {
+      present[upstream.id] = {upstream.incarnation, service};
+      const auto old = known_.find(upstream.id);
+      const bool same = old != known_.end() &&
+                        old->second.incarnation == upstream.incarnation;
+      if (old != known_.end()) known_.erase(old);
+      if (same) continue;
+      pending_[upstream.id] = {service, {}, 0};
+      changed.push_back(upstream.id);
     }
   }
+  for (const auto& [id, gone] : known_) changed.push_back(id);
   known_ = std::move(present);
+  return changed;
+}
+
+ServiceId Greetings::ServiceOf(UpstreamId id) const {
+  const auto found = known_.find(id);
+  return found == known_.end() ? ServiceId{} : found->second.service;
 }
 
 void Greetings::OnHeard(UpstreamId id) { pending_.erase(id); }
--- a/packages/engine/src/run_table.cc
+++ b/packages/engine/src/run_table.cc
@@ -39,4 +39,9 @@
   return taken;
 }
 
+bool RunTable::Has(flow::FlowSlot slot) const {
+  const auto found = runs_.lower_bound({slot, {}});
+  return found != runs_.end() && found->first.first == slot;
+}
+
 }  // namespace cowslip::engine
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -1,13 +1,7 @@
+#include "coap_peek.h"
 #include "cowslip/engine/sidecar.h"
 
 namespace cowslip::engine {
-namespace {
-
-/// Redirects are renewed this many times per idle timeout.
-constexpr int kRefreshesPerTimeout = 3;
-
-}  // namespace
-
 using link::Frame;
 using link::FrameHeader;
 using link::FrameKind;
@@ -56,13 +50,16 @@
   const auto redirect = redirects_.Find(key, now);
   if (!redirect) return false;
   const auto* owner = service_->Find(redirect->owner);
-  const bool alive =
-      owner != nullptr && owner->incarnation == redirect->incarnation;
+  // A redirect may name an incarnation that this view doesn't know yet.
+  const bool alive = owner != nullptr &&
+                     owner->incarnation <= redirect->incarnation &&
+                     !contacts_.IsSilent(owner->id);
   if (!alive || owner->id == options_.id ||
       frame.header.visited.Contains(owner->id)) {
     redirects_.Forget(key);
     return false;
   }
+  redirects_.Learn(key, redirect->owner, redirect->incarnation, now);
   Forward(frame, *owner, link::kFlagByRedirect, effects);
   return true;
 }
@@ -71,34 +68,51 @@
                            SidecarEffects& effects) {
   const auto& visited = frame.header.visited;
   if (visited.full()) return false;
-  const flow::WalkWindow window{IdleTimeout() + options_.clock_skew,
-                                options_.clock_skew};
-  const auto seen = [&](const Upstream& upstream) {
-    return upstream.id == options_.id || visited.Contains(upstream.id);
+  const flow::WalkWindow window{
+      IdleTimeout() + options_.clock_skew + options_.view_lag,
+      options_.clock_skew};
+  const auto place = [&](const Upstream& upstream) {
+    if (upstream.id == options_.id) return flow::WalkPlace::kSelf;
+    const bool passed =
+        visited.Contains(upstream.id) || contacts_.IsSilent(upstream.id);
+    return passed ? flow::WalkPlace::kPassed : flow::WalkPlace::kUnasked;
   };
-  const auto* next =
-      flow::NextOnWalk(RankedFor(frame.header.flow), window, now, seen);
+  const auto* next = flow::NextOnWalk(RankedFor(frame.header.flow), window,
+                                      options_.started, now, place);
   if (next == nullptr) return false;
   counters_->Add(Counter::kWalkHops);
   Forward(frame, *next, 0, effects);
   return true;
 }
 
+/// @return the first-ranked upstream before this one that was asked on the walk
+///     and can adopt, or nullptr.
+const Upstream* Sidecar::FirstToAdopt(const FrameHeader& header) {
+  for (const auto* upstream : RankedFor(header.flow)) {
+    if (upstream->id == options_.id) return nullptr;
+    const bool asked = header.visited.Contains(upstream->id) &&
+                       !header.visited.IsSilent(upstream->id);
+    if (asked && upstream->state == UpstreamState::kActive) return upstream;
+  }
+  return nullptr;
+}
+
 /// Brings a flow that nobody owns to the first-ranked upstream that takes it.
 void Sidecar::Settle(const Frame& frame, TimePoint now,
                      SidecarEffects& effects) {
-  const bool passed_on = frame.header.Has(link::kFlagPassedOn);
-  const bool returned = frame.header.Has(link::kFlagWalkDone);
-  if (!passed_on && !returned) {
-    for (const auto* upstream : RankedFor(frame.header.flow)) {
-      if (upstream->id == options_.id) break;
-      if (upstream->state != UpstreamState::kActive) continue;
-      if (!frame.header.visited.Contains(upstream->id)) continue;
-      Forward(frame, *upstream, link::kFlagWalkDone, effects);
+  const auto& header = frame.header;
+  if (service_->service.protocol == ticket::Protocol::kCoap &&
+      IsAnswer(frame.payload)) {
+    counters_->Add(Counter::kDropUnknownFlow);
+    return;
+  }
+  if (!header.Has(link::kFlagWalkDone)) {
+    if (const auto* first = FirstToAdopt(header)) {
+      Forward(frame, *first, link::kFlagWalkDone, effects);
       return;
     }
   }
-  if (CanAdopt(now) || frame.header.Has(link::kFlagMustTake)) {
+  if (CanAdopt(now) || header.Has(link::kFlagMustTake)) {
     Adopt(frame, now, effects);
   } else {
     PassOn(frame, now, effects);
@@ -123,21 +137,27 @@
   }
   counters_->Add(Counter::kFlowsAdopted);
   redirects_.Forget(header.flow);
-  AnnounceOwnership(flows_.At(*slot), header.visited, now, effects);
+  AnnounceOwnership(flows_.At(*slot), header, effects);
   ServeOwned(*slot, frame, now, effects);
 }
 
 void Sidecar::PassOn(const Frame& frame, TimePoint now,
                      SidecarEffects& effects) {
-  const auto& visited = frame.header.visited;
+  auto passed = frame;
+  // Those that were asked who owns the flow were not asked to take it.
+  if (!frame.header.Has(link::kFlagPassedOn)) {
+    passed.header.visited.ForgetVisited();
+  }
+  const auto& visited = passed.header.visited;
   for (const auto* upstream : RankedFor(frame.header.flow)) {
     if (visited.full()) break;
     if (upstream->id == options_.id || visited.Contains(upstream->id)) continue;
     if (upstream->state != UpstreamState::kActive) continue;
+    if (contacts_.IsSilent(upstream->id)) continue;
     counters_->Add(Counter::kFlowsPassedOn);
     redirects_.Learn(frame.header.flow, upstream->id, upstream->incarnation,
                      now);
-    Forward(frame, *upstream, link::kFlagPassedOn | link::kFlagWalkDone,
+    Forward(passed, *upstream, link::kFlagPassedOn | link::kFlagWalkDone,
             effects);
     return;
   }
@@ -151,12 +171,27 @@
     counters_->Add(Counter::kDropHopLimit);
     return;
   }
+  header.flags &= static_cast<std::uint8_t>(~link::kFlagByRedirect);
   header.flags |= extra_flags;
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
   header.ticket = view_->ticket();
   counters_->Add(Counter::kFramesForwarded);
   effects.frames.push_back({to.sidecar, header, frame.payload});
+  if (contacts_.OnSent(to.id, now_)) SendProbe(to, effects);
+}
+
+void Sidecar::SendProbe(const Upstream& to, SidecarEffects& effects) {
+  counters_->Add(Counter::kProbesSent);
+  effects.frames.push_back({to.sidecar, MakeHeader(FrameKind::kProbe), {}});
+}
+
+void Sidecar::ProbeSuspects(SidecarEffects& effects) {
+  if (service_ == nullptr) return;
+  for (const auto id : contacts_.TakeDue(now_)) {
+    if (const auto* upstream = service_->Find(id))
+      SendProbe(*upstream, effects);
+  }
 }
 
 void Sidecar::ServeOwned(flow::FlowSlot slot, const Frame& frame, TimePoint now,
@@ -166,9 +201,9 @@
   flow.balancer = frame.header.balancer;
   if (!frame.header.visited.empty() &&
       !frame.header.Has(link::kFlagByRedirect)) {
-    AnnounceOwnership(flow, frame.header.visited, now, effects);
+    AnnounceOwnership(flow, frame.header, effects);
   }
-  RefreshRedirects(flow, now, effects);
+  RefreshRedirects(flow, effects);
   if (service_->service.protocol == ticket::Protocol::kCoap) {
     OnCallerMessage(slot, frame.payload, frame, now, effects);
   } else {
@@ -176,36 +211,6 @@
   }
 }
 
-void Sidecar::AnnounceOwnership(flow::Flow& flow,
-                                const link::VisitedList& visited, TimePoint,
-                                SidecarEffects& effects) {
-  auto header = MakeHeader(FrameKind::kRedirect);
-  header.flow = flow.key;
-  for (const auto id : visited.ids()) {
-    const auto* upstream = service_->Find(id);
-    if (upstream == nullptr || id == options_.id) continue;
-    counters_->Add(Counter::kRedirectsSent);
-    effects.frames.push_back({upstream->sidecar, header, {}});
-  }
-}
-
-void Sidecar::RefreshRedirects(flow::Flow& flow, TimePoint now,
-                               SidecarEffects& effects) {
-  const bool due =
-      flow.announced_epoch != view_->epoch() ||
-      now - flow.last_announced >= IdleTimeout() / kRefreshesPerTimeout;
-  if (!due) return;
-  flow.announced_epoch = view_->epoch();
-  flow.last_announced = now;
-  auto header = MakeHeader(FrameKind::kRedirect);
-  header.flow = flow.key;
-  for (const auto* upstream : RankedFor(flow.key)) {
-    if (upstream->id == options_.id) break;
-    counters_->Add(Counter::kRedirectsSent);
-    effects.frames.push_back({upstream->sidecar, header, {}});
-  }
-}
-
 void Sidecar::ExpireFlows(TimePoint now, SidecarEffects& effects) {
   while (const auto oldest = flows_.Oldest()) {
     if (now - flows_.At(*oldest).last_active < IdleTimeout()) return;
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "coap_peek.h"
 #include "cowslip/engine/sidecar.h"
 
@@ -23,6 +25,7 @@
       flows_(std::move(flows)),
       redirects_(options.redirect_capacity, std::chrono::minutes(4)),
       admission_({options.slots, 0, options.slow_start}, options.started),
+      contacts_(options.silence),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
       counters_(std::make_unique<Counters>()),
@@ -31,10 +34,10 @@
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
   now_ = now;
-  view_ = std::move(view);
-  const auto* before = service_;
-  service_ = view_->Find(options_.service);
+  const auto old_view = std::exchange(view_, std::move(view));
+  const auto* before = std::exchange(service_, view_->Find(options_.service));
   if (service_ == nullptr) return;
+  ForgetRestarted(before);
   redirects_.SetLifetime(2 * IdleTimeout() + IdleTimeout() / 2);
   if (before == nullptr) return;
   // Flows that used an address which the service no longer has can't go on.
@@ -44,6 +47,17 @@
   }
 }
 
+/// A new incarnation is not judged by the silence of the one before.
+void Sidecar::ForgetRestarted(const membership::ServiceView* before) {
+  if (before == nullptr) return;
+  for (const auto& old : before->upstreams) {
+    const auto* present = service_->Find(old.id);
+    if (present == nullptr || present->incarnation != old.incarnation) {
+      contacts_.Remove(old.id);
+    }
+  }
+}
+
 Duration Sidecar::IdleTimeout() const { return service_->service.idle_timeout; }
 
 std::span<const Upstream* const> Sidecar::RankedFor(const FlowKey& key) {
@@ -89,6 +103,7 @@
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
   now_ = now;
+  from_ = from;
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
@@ -98,9 +113,11 @@
       OnCallerData(frame, from, now, effects);
       return;
     case FrameKind::kRedirect:
-      if (header.service != options_.service) return;
-      redirects_.Learn(header.flow, UpstreamId(header.sender),
-                       header.incarnation, now);
+      contacts_.OnHeard(UpstreamId(header.sender));
+      OnRedirect(frame, from, effects);
+      return;
+    case FrameKind::kProbeAck:
+      contacts_.OnHeard(UpstreamId(header.sender));
       return;
     case FrameKind::kProbe: {
       auto answer = MakeHeader(FrameKind::kProbeAck);
@@ -147,6 +164,7 @@
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
   now_ = now;
   replies_.Expire(now, effects);
+  ProbeSuspects(effects);
   if (service_ == nullptr) return;
   ExpireRuns(now, effects);
   ExpireFlows(now, effects);
--- /dev/null
+++ b/packages/engine/src/sidecar_ownership.cc
@@ -0,0 +1,108 @@
+// How the owner of a flow makes itself known to other sidecars.
+#include "cowslip/engine/sidecar.h"
+
+namespace cowslip::engine {
+namespace {
+
+/// Redirects are renewed this many times per idle timeout.
+constexpr int kRefreshesPerTimeout = 3;
+
+}  // namespace
+
+using link::Frame;
+using link::FrameHeader;
+using link::FrameKind;
+
+bool Sidecar::Owns(const FlowKey& key) const {
+  const auto slot = flows_.Find(key);
+  return slot && !flows_.At(*slot).guest;
+}
+
+FrameHeader Sidecar::MakeRedirect(const flow::Flow& flow) const {
+  auto header = MakeHeader(FrameKind::kRedirect);
+  header.flow = flow.key;
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now_ - flow.adopted);
+  header.sequence = static_cast<std::uint64_t>(age.count());
+  return header;
+}
+
+void Sidecar::SendRedirect(const flow::Flow& flow, const Endpoint& to,
+                           SidecarEffects& effects) {
+  counters_->Add(Counter::kRedirectsSent);
+  effects.frames.push_back({to, MakeRedirect(flow), {}});
+}
+
+void Sidecar::AnnounceOwnership(const flow::Flow& flow,
+                                const FrameHeader& header,
+                                SidecarEffects& effects) {
+  // The last hop may be too new for this view.
+  bool told_last_hop = from_ == header.balancer;
+  for (const auto id : header.visited.ids()) {
+    const auto* upstream = service_->Find(id);
+    if (upstream == nullptr || id == options_.id) continue;
+    if (upstream->sidecar == from_) told_last_hop = true;
+    SendRedirect(flow, upstream->sidecar, effects);
+  }
+  if (!told_last_hop) SendRedirect(flow, from_, effects);
+}
+
+void Sidecar::RefreshRedirects(flow::Flow& flow, SidecarEffects& effects) {
+  const bool due =
+      flow.announced_epoch != view_->epoch() ||
+      now_ - flow.last_announced >= IdleTimeout() / kRefreshesPerTimeout;
+  if (!due) return;
+  flow.announced_epoch = view_->epoch();
+  flow.last_announced = now_;
+  for (const auto* upstream : RankedFor(flow.key)) {
+    if (upstream->id == options_.id) break;
+    SendRedirect(flow, upstream->sidecar, effects);
+  }
+}
+
+void Sidecar::OnRedirect(const Frame& frame, const Endpoint& from,
+                         SidecarEffects& effects) {
+  const auto& header = frame.header;
+  if (header.service != options_.service || service_ == nullptr) return;
+  const auto slot = flows_.Find(header.flow);
+  if (slot && !flows_.At(*slot).guest) {
+    Arbitrate(*slot, frame, from, effects);
+    return;
+  }
+  redirects_.Learn(header.flow, UpstreamId(header.sender), header.incarnation,
+                   now_);
+}
+
+/// Settles a flow that this upstream and the sender both own.
+void Sidecar::Arbitrate(flow::FlowSlot slot, const Frame& frame,
+                        const Endpoint& from, SidecarEffects& effects) {
+  const auto& header = frame.header;
+  const auto& flow = flows_.At(slot);
+  const auto other = UpstreamId(header.sender);
+  auto claim = MakeRedirect(flow);
+  if (header.Has(link::kFlagVerdict)) {
+    Yield(slot, frame, effects);
+  } else if (!flow::IsJudge(options_.id, other)) {
+    effects.frames.push_back({from, claim, {}});
+  } else if (flow::JudgeKeeps(now_ - flow.adopted,
+                              std::chrono::milliseconds(header.sequence))) {
+    claim.flags |= link::kFlagVerdict;
+    effects.frames.push_back({from, claim, {}});
+  } else {
+    Yield(slot, frame, effects);
+  }
+}
+
+/// Leaves the flow to the sender. A permitted request that runs here ends
+/// first; the next redirect of the sender asks again.
+void Sidecar::Yield(flow::FlowSlot slot, const Frame& frame,
+                    SidecarEffects& effects) {
+  if (runs_.Has(slot)) return;
+  const auto& header = frame.header;
+  counters_->Add(Counter::kFlowsYielded);
+  EndFlow(slot, effects);
+  redirects_.Learn(header.flow, UpstreamId(header.sender), header.incarnation,
+                   now_);
+}
+
+}  // namespace cowslip::engine
--- a/packages/flow/include/cowslip/flow.h
+++ b/packages/flow/include/cowslip/flow.h
@@ -3,6 +3,7 @@
 /// @file Public header of the flow library: ranking, walks and flow tables.
 
 #include "cowslip/flow/admission.h"       // IWYU pragma: export
+#include "cowslip/flow/arbitration.h"     // IWYU pragma: export
 #include "cowslip/flow/contact_table.h"   // IWYU pragma: export
 #include "cowslip/flow/flow_error.h"      // IWYU pragma: export
 #include "cowslip/flow/flow_table.h"      // IWYU pragma: export
--- a/packages/flow/include/cowslip/flow/flow_table.h
+++ b/packages/flow/include/cowslip/flow/flow_table.h
@@ -17,6 +17,7 @@
 struct Flow {
   FlowKey key;
   Endpoint balancer;  ///< Took the latest datagram of the caller.
+  TimePoint adopted{};
   TimePoint last_active{};
   TimePoint last_announced{};         ///< When redirects were last sent.
   std::uint64_t announced_epoch = 0;  ///< View under which they were sent.
--- a/packages/flow/include/cowslip/flow/redirect_table.h
+++ b/packages/flow/include/cowslip/flow/redirect_table.h
@@ -14,6 +14,7 @@
   UpstreamId owner{};
   Incarnation incarnation{};
   TimePoint expires{};
+  TimePoint listed{};  ///< Its place in the order of age.
 };
 
 /// Bounded table of flows known to be owned by other upstreams.
@@ -44,7 +45,9 @@
   std::size_t capacity_;
   Duration lifetime_;
   std::unordered_map<FlowKey, Redirect, FlowKeyHash> redirects_;
-  std::deque<Age> ages_;  ///< May hold entries that were renewed since.
+  /// One entry for each redirect; a renewed one is listed again when its entry
+  /// comes up.
+  std::deque<Age> ages_;
   std::uint64_t evicted_ = 0;
 };
 
--- a/packages/flow/include/cowslip/flow/walk.h
+++ b/packages/flow/include/cowslip/flow/walk.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <algorithm>
+#include <cstdint>
 #include <span>
 
 #include "cowslip/base.h"
@@ -13,28 +13,39 @@
   Duration clock_skew{};  ///< Joins closer than this count as simultaneous.
 };
 
+/// What the upstream that holds a frame knows about another one.
+enum class WalkPlace : std::uint8_t {
+  kUnasked,
+  kSelf,
+  kPassed,  ///< Was asked already, or doesn't answer.
+};
+
 /// Finds the next upstream to ask for the owner of an unknown flow.
 ///
 /// The walk visits the upstreams that ranked first at some moment of the recent
-/// window: the top of the order, then each later one that joined before all of
-/// those ahead of it, until one that joined before the window. In steady state
-/// that is the top alone. See docs/DESIGN.md, "Walks".
+/// window: each one ranked ahead of this one, then each later one that joined
+/// before this one, unless this one joined before the window. In a steady state
+/// that is the top alone. An upstream that was asked already has judged its own
+/// age, which it knows best, and went on. See docs/DESIGN.md, "Walks".
 ///
 /// @param order all upstreams, first-ranked first.
-/// @param seen predicate: the upstream was asked already, or is the caller.
+/// @param own_joined start of the incarnation that holds the frame.
+/// @param place_of WalkPlace of an Upstream.
 /// @return the next upstream to ask, or nullptr when the walk is complete.
-template <typename Seen>
+template <typename PlaceOf>
 const Upstream* NextOnWalk(std::span<const Upstream* const> order,
-                           const WalkWindow& window, TimePoint now,
-                           const Seen& seen) {
-  auto earliest = TimePoint::max();
+                           const WalkWindow& window, TimePoint own_joined,
+                           TimePoint now, const PlaceOf& place_of) {
+  bool passed_self = false;
   for (const auto* upstream : order) {
-    const bool candidate = earliest == TimePoint::max() ||
-                           upstream->joined < earliest + window.clock_skew;
-    if (!candidate) continue;
-    if (!seen(*upstream)) return upstream;
-    earliest = std::min(earliest, upstream->joined);
-    if (now - earliest >= window.recent) return nullptr;
+    const auto place = place_of(*upstream);
+    if (place == WalkPlace::kSelf) {
+      if (now - own_joined >= window.recent) return nullptr;
+      passed_self = true;
+    } else if (place == WalkPlace::kUnasked) {
+      if (!passed_self) return upstream;
+      if (upstream->joined < own_joined + window.clock_skew) return upstream;
+    }
   }
   return nullptr;
 }
--- a/packages/flow/src/contact_table.cc
+++ b/packages/flow/src/contact_table.cc
@@ -2,29 +2,44 @@
 
 namespace cowslip::flow {
 
-bool ContactTable::OnSent(UpstreamId upstream, TimePoint now) {
-  auto& contact = contacts_[upstream];
-  if (!contact.unanswered_since) contact.unanswered_since = now;
-  if (now - *contact.unanswered_since < limits_.probe_after) return false;
-  if (!contact.first_probe) {
-    contact.first_probe = now;
-  } else if (now - contact.last_probe < limits_.probe_every) {
+bool ContactTable::Probe(Contact& contact, TimePoint now) const {
+  if (contact.probes > 0 && now - contact.last_probe < limits_.probe_every) {
     return false;
   }
   contact.last_probe = now;
+  ++contact.probes;
   return true;
 }
 
-void ContactTable::OnHeard(UpstreamId upstream, TimePoint) {
+bool ContactTable::OnSent(UpstreamId upstream, TimePoint now) {
   auto& contact = contacts_[upstream];
-  contact.unanswered_since.reset();
-  contact.first_probe.reset();
+  if (!contact.unanswered_since) contact.unanswered_since = now;
+  if (now - *contact.unanswered_since < limits_.probe_after) return false;
+  if (contact.probes == 0) suspects_.push_back(upstream);
+  return Probe(contact, now);
 }
 
-bool ContactTable::IsSilent(UpstreamId upstream, TimePoint now) const {
+void ContactTable::OnHeard(UpstreamId upstream) {
   const auto found = contacts_.find(upstream);
-  if (found == contacts_.end() || !found->second.first_probe) return false;
-  return now - *found->second.first_probe >= limits_.skip_after;
+  if (found != contacts_.end()) found->second = {};
+}
+
+bool ContactTable::IsSilent(UpstreamId upstream) const {
+  const auto found = contacts_.find(upstream);
+  return found != contacts_.end() && found->second.probes > limits_.probes;
+}
+
+const std::vector<UpstreamId>& ContactTable::TakeDue(TimePoint now) {
+  due_.clear();
+  std::erase_if(suspects_, [&](UpstreamId id) {
+    const auto found = contacts_.find(id);
+    if (found == contacts_.end()) return true;
+    auto& contact = found->second;
+    if (contact.probes == 0 || contact.probes > limits_.probes) return true;
+    if (Probe(contact, now)) due_.push_back(id);
+    return false;
+  });
+  return due_;
 }
 
 }  // namespace cowslip::flow
--- a/packages/flow/src/flow_table.cc
+++ b/packages/flow/src/flow_table.cc
@@ -26,6 +26,7 @@
   nodes_[index] = Node{};
   nodes_[index].used = true;
   nodes_[index].flow.key = key;
+  nodes_[index].flow.adopted = now;
   nodes_[index].flow.last_active = now;
   slots_[key] = index;
   LinkNewest(index);
--- a/packages/flow/src/redirect_table.cc
+++ b/packages/flow/src/redirect_table.cc
@@ -9,7 +9,13 @@
     while (redirects_.size() >= capacity_ && !ages_.empty()) DropOldest();
   }
   const auto expires = now + lifetime_;
-  redirects_[key] = {owner, incarnation, expires};
+  const auto [place, added] = redirects_.try_emplace(key);
+  auto& redirect = place->second;
+  redirect.owner = owner;
+  redirect.incarnation = incarnation;
+  redirect.expires = expires;
+  if (!added) return;
+  redirect.listed = expires;
   ages_.push_back({expires, key});
 }
 
@@ -27,12 +33,19 @@
 }
 
 void RedirectTable::DropOldest() {
-  const auto& oldest = ages_.front();
+  const auto oldest = ages_.front();
+  ages_.pop_front();
   const auto found = redirects_.find(oldest.key);
-  if (found != redirects_.end() && found->second.expires == oldest.expires) {
+  // Stale if the key was forgotten, and perhaps learnt again, since.
+  if (found == redirects_.end()) return;
+  auto& redirect = found->second;
+  if (redirect.listed != oldest.expires) return;
+  if (redirect.expires == oldest.expires) {
     redirects_.erase(found);
+    return;
   }
-  ages_.pop_front();
+  redirect.listed = redirect.expires;
+  ages_.push_back({redirect.expires, oldest.key});
 }
 
 }  // namespace cowslip::flow
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -33,6 +33,7 @@
   kFlagMustTake = 1 << 4,   ///< Least-queued choice: queue or shed, no passing.
   kFlagReachable = 1 << 5,  ///< kDeathAnswer: the upstream was reached.
   kFlagByRedirect = 1 << 6,  ///< Forwarded by an upstream that knows the owner.
+  kFlagVerdict = 1 << 7,     ///< kRedirect: the receiver gives its flow up.
 };
 
 /// The least loaded of the full upstreams that a frame has passed.
--- a/packages/link/src/frame_codec.cc
+++ b/packages/link/src/frame_codec.cc
@@ -25,7 +25,7 @@
           static_cast<std::uint8_t>(header.kind),
           header.flags,
           static_cast<std::uint8_t>(ids.size()),
-          0,
+          static_cast<std::uint8_t>(header.visited.silent_count()),
           Raw(header.service),
           header.sender,
           Raw(header.ticket),
@@ -56,7 +56,12 @@
   header.balancer = {wire.balancer_address(), wire.balancer_port()};
   header.sequence = wire.sequence();
   for (std::uint8_t i = 0; i < wire.visited_count(); ++i) {
-    header.visited.Add(UpstreamId(wire.visited()->Get(i)));
+    const auto id = UpstreamId(wire.visited()->Get(i));
+    if (i < wire.silent_count()) {
+      header.visited.AddSilent(id);
+    } else {
+      header.visited.Add(id);
+    }
   }
   header.least_queued = {UpstreamId(wire.least_queued()), wire.least_queue()};
   return header;
@@ -66,6 +71,7 @@
   return wire.kind() >= 1 &&
          wire.kind() <= static_cast<std::uint8_t>(kLastFrameKind) &&
          wire.visited_count() <= VisitedList::kCapacity &&
+         wire.silent_count() <= wire.visited_count() &&
          wire.payload_size() <= kMaxPayloadBytes;
 }
 
--- a/tests/support/virtual_network.cc
+++ b/tests/support/virtual_network.cc
@@ -22,6 +22,8 @@
 
 void VirtualNetwork::Start(const Endpoint& at, const ProcessPtr& process) {
   Kill(at);
+  // A process reads the members after it has announced itself.
+  process->epoch = epoch_;
   processes_[at] = process;
   Tick(at, process);
 }
