Feeds survive a drain, and lost acknowledgements

A draining sidecar hands its observations over: the registration with the last Observe number and message id told goes to the successor in a kHandover frame, retried every 100 ms; the successor registers at its own upstream and acknowledges with the first answer, continuing both numbers with a gap of 1000 for the overlap. Then the old flow ends and leaves a redirect. Notifications keep a flow alive, so a quiet feed outlives the idle timeout.

A sidecar repeats an unacknowledged notification under a fresh message id after 300 ms, doubling up to 1.2 s, at most 10 times, and absorbs the upstream's own repetitions: libcoap 4.3.1's client ignores a repeated id, so one lost acknowledgement used to stall a feed.

Empty acknowledgements and resets on an unknown flow walk and are then dropped and counted; they adopt nothing.

--- a/packages/engine/include/cowslip/engine/counters.h
+++ b/packages/engine/include/cowslip/engine/counters.h
@@ -37,6 +37,8 @@
   kHandoversTaken,
   kRepliesNotKept,
   kFlowsYielded,
+  kFeedsNotTracked,
+  kNotificationsRepeated,
   kCount,
 };
 
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,6 +9,7 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/observation_table.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/run_table.h"
 #include "cowslip/engine/sidecar_effects.h"
@@ -28,6 +29,7 @@
   permit::PermitKey permit_key{};  ///< Drawn at random for the incarnation.
   std::size_t permit_capacity = 100'000;
   std::size_t redirect_capacity = 200'000;
+  std::size_t observation_capacity = 100'000;
   Duration slow_start{};
   Duration clock_skew{std::chrono::seconds(1)};
   /// Longest time by which views of the members differ.
@@ -110,6 +112,22 @@
   void Yield(flow::FlowSlot slot, const link::Frame& frame,
              SidecarEffects& effects);
 
+  // Feeds: sidecar_feeds.cc.
+  bool TrackCallerMessage(flow::FlowSlot slot, ByteView payload,
+                          SidecarEffects& effects);
+  bool TrackUpstreamMessage(flow::FlowSlot slot, coap::Message& message,
+                            SidecarEffects& effects);
+  void RepeatNotifications(SidecarEffects& effects);
+  void AckHandover(const FlowKey& key, const Observation& observation,
+                   SidecarEffects& effects);
+  void OnHandover(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void HandOverFeeds(SidecarEffects& effects);
+  const Upstream* Successor(const FlowKey& key, std::uint32_t tries);
+  void SendHandover(flow::FlowSlot slot, const Feed& feed,
+                    Observation& observation, SidecarEffects& effects);
+  void OnHandoverAck(const link::Frame& frame, SidecarEffects& effects);
+
   // Requests: sidecar_requests.cc.
   void OnCallerMessage(flow::FlowSlot slot, ByteView payload,
                        const link::Frame& frame, TimePoint now,
@@ -154,6 +172,8 @@
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
+  ObservationTable observations_;
+  std::uint64_t last_handover_ = 0;
   TimePoint now_{};  ///< Of the latest event.
   Endpoint from_;    ///< Sender of the latest frame.
 };
--- a/packages/engine/src/counters.cc
+++ b/packages/engine/src/counters.cc
@@ -34,6 +34,8 @@
         "handovers_taken",
         "replies_not_kept",
         "flows_yielded",
+        "feeds_not_tracked",
+        "notifications_repeated",
     };
 
 }  // namespace
--- /dev/null
+++ b/packages/engine/src/observation_table.cc
@@ -0,0 +1,82 @@
+#include "cowslip/engine/observation_table.h"
+
+#include <utility>
+
+namespace cowslip::engine {
+
+using coap::Message;
+
+Feed* ObservationTable::Find(flow::FlowSlot slot) {
+  const auto found = feeds_.find(slot);
+  return found == feeds_.end() ? nullptr : &found->second;
+}
+
+std::vector<flow::FlowSlot> ObservationTable::Slots() const {
+  std::vector<flow::FlowSlot> slots;
+  slots.reserve(feeds_.size());
+  for (const auto& [slot, feed] : feeds_) slots.push_back(slot);
+  return slots;
+}
+
+bool ObservationTable::Register(flow::FlowSlot slot, const Message& request) {
+  auto* feed = Find(slot);
+  auto* known = feed == nullptr ? nullptr : feed->Find(request.token);
+  if (known != nullptr) {
+    known->request = request;
+    return true;
+  }
+  if (size_ >= capacity_) return false;
+  ++size_;
+  Observation added;
+  added.request = request;
+  feeds_[slot].observations.push_back(std::move(added));
+  return true;
+}
+
+Observation* ObservationTable::TakeOver(flow::FlowSlot slot,
+                                        const Message& request) {
+  auto* known = Find(slot);
+  if (known != nullptr) {
+    if (auto* same = known->Find(request.token)) return same;
+  }
+  if (size_ >= capacity_) return nullptr;
+  ++size_;
+  auto& feed = feeds_[slot];
+  if (feed.observations.empty()) feed.ContinueFrom(request.message_id);
+  Observation added;
+  added.request = request;
+  added.last_told = request.FindUint(coap::OptionNumber::kObserve).value_or(0);
+  added.shift.reset();
+  feed.observations.push_back(std::move(added));
+  return &feed.observations.back();
+}
+
+void ObservationTable::Cancel(flow::FlowSlot slot, const Bytes& token) {
+  auto* feed = Find(slot);
+  if (feed == nullptr) return;
+  // The feed itself stays, because its message ids go on.
+  size_ -= std::erase_if(feed->observations, [&](const auto& o) {
+    return o.request.token == token;
+  });
+}
+
+void ObservationTable::Erase(flow::FlowSlot slot) {
+  const auto found = feeds_.find(slot);
+  if (found == feeds_.end()) return;
+  size_ -= found->second.observations.size();
+  feeds_.erase(found);
+}
+
+std::vector<flow::FlowSlot> ObservationTable::TakeDue(TimePoint now) {
+  std::vector<flow::FlowSlot> slots;
+  while (!due_.empty() && due_.top().at <= now) {
+    const auto slot = due_.top().slot;
+    due_.pop();
+    const auto found = feeds_.find(slot);
+    if (found == feeds_.end()) continue;
+    if (found->second.NextRepeat() <= now) slots.push_back(slot);
+  }
+  return slots;
+}
+
+}  // namespace cowslip::engine
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -205,6 +205,7 @@
   }
   RefreshRedirects(flow, effects);
   if (service_->service.protocol == ticket::Protocol::kCoap) {
+    if (TrackCallerMessage(slot, frame.payload, effects)) return;
     OnCallerMessage(slot, frame.payload, frame, now, effects);
   } else {
     effects.datagrams.push_back({slot, frame.payload});
@@ -221,6 +222,7 @@
 
 void Sidecar::EndFlow(flow::FlowSlot slot, SidecarEffects& effects) {
   FailRuns(slot, effects);
+  observations_.Erase(slot);
   flows_.Erase(slot);
   effects.closes.push_back({slot});
 }
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -29,7 +29,8 @@
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
       counters_(std::make_unique<Counters>()),
-      replies_(*counters_) {}
+      replies_(*counters_),
+      observations_(options.observation_capacity) {}
 
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
@@ -125,6 +126,13 @@
       effects.frames.push_back({from, answer, {}});
       return;
     }
+    case FrameKind::kHandover:
+      OnHandover(frame, from, effects);
+      return;
+    case FrameKind::kHandoverAck:
+      contacts_.OnHeard(UpstreamId(header.sender));
+      OnHandoverAck(frame, effects);
+      return;
     case FrameKind::kReplyAck:
       replies_.OnAck(header);
       return;
@@ -143,11 +151,12 @@
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
     LastReason<coap::CoapError> reason;
-    const auto message = coap::Parse(payload, reason);
+    auto message = coap::Parse(payload, reason);
     if (!message) {
       counters_->Add(Counter::kDropMalformed);
       return;
     }
+    if (!TrackUpstreamMessage(slot, *message, effects)) return;
     matters = message->type == coap::Type::kCon ||
               message->Find(coap::OptionNumber::kObserve) != nullptr;
     if (message->IsResponse()) {
@@ -157,6 +166,11 @@
         return;
       }
     }
+    if (observations_.Has(slot)) {
+      auto bytes = coap::Encode(*message, reason);
+      if (!bytes) return;
+      payload = effects.scratch.Keep(std::move(*bytes));
+    }
   }
   SendReply(slot, payload, matters, effects);
 }
@@ -165,6 +179,8 @@
   now_ = now;
   replies_.Expire(now, effects);
   ProbeSuspects(effects);
+  RepeatNotifications(effects);
+  HandOverFeeds(effects);
   if (service_ == nullptr) return;
   ExpireRuns(now, effects);
   ExpireFlows(now, effects);
--- a/packages/engine/src/sidecar_ownership.cc
+++ b/packages/engine/src/sidecar_ownership.cc
@@ -78,6 +78,8 @@
                         const Endpoint& from, SidecarEffects& effects) {
   const auto& header = frame.header;
   const auto& flow = flows_.At(slot);
+  // The successor of a handover owns the flow before it has all of its feeds.
+  if (draining_ && observations_.Has(slot)) return;
   const auto other = UpstreamId(header.sender);
   auto claim = MakeRedirect(flow);
   if (header.Has(link::kFlagVerdict)) {
--- a/tests/support/feed_fixture.h
+++ b/tests/support/feed_fixture.h
@@ -42,11 +42,21 @@
     std::uint32_t last_observe = 0;
     std::uint64_t notifications = 0;
     std::uint64_t stale = 0;
+    std::uint64_t went_back = 0;  ///< Fresh number, older value.
+    std::uint64_t last_value = 0;
     std::uint64_t foreign = 0;
+    std::uint64_t clashes = 0;  ///< One message id for two payloads.
+    std::map<std::uint16_t, Bytes> confirmables;
+    std::optional<std::uint16_t> last_confirmable;
     std::set<std::uint64_t> values;  ///< Received, also when overtaken.
   };
   std::map<std::uint32_t, Feed> feeds;
   VirtualNetwork network;
+  /// Share of the callers' acknowledgements that the fabric loses.
+  double acknowledgement_loss = 0;
+  /// Upstreams wait for the acknowledgement of a confirmable notification
+  /// before the next, and repeat it after 2 s, doubling (RFC 7252 section 4.2).
+  bool one_at_a_time = false;
   /// The caller acknowledges confirmable notifications; otherwise it is mute.
   bool acknowledges = true;
   std::uint64_t value = 0;  ///< Of the feed now.
@@ -59,9 +69,13 @@
     Bytes token;
     std::uint32_t observe = 0;
     std::uint16_t message_id = 0;
+    Bytes unacknowledged;
+    TimePoint repeat_at{};
+    Duration repeat_wait{};
   };
   void OnUpstream(UpstreamId id, flow::FlowSlot slot, ByteView payload);
   void OnCaller(const FlowKey& flow, ByteView payload);
+  bool Waits(UpstreamId id, Observation& observation);
   void Notify(Duration interval, coap::Type type);
 
   std::map<UpstreamId, std::map<flow::FlowSlot, Observation>> observations_;
--- a/tests/support/virtual_network.cc
+++ b/tests/support/virtual_network.cc
@@ -188,6 +188,9 @@
 void VirtualNetwork::CarryOut(Process& process, const Endpoint& at,
                               engine::SidecarEffects& effects) {
   for (const auto& frame : effects.frames) Send(frame, at);
+  for (const auto& close : effects.closes) {
+    if (on_close) on_close(process.id, close.slot);
+  }
   for (const auto& datagram : effects.datagrams) {
     if (on_upstream) on_upstream(process.id, datagram.slot, datagram.payload);
   }
--- a/tests/support/virtual_network.h
+++ b/tests/support/virtual_network.h
@@ -34,6 +34,7 @@
  public:
   using UpstreamHandler =
       std::function<void(UpstreamId, flow::FlowSlot, ByteView)>;
+  using CloseHandler = std::function<void(UpstreamId, flow::FlowSlot)>;
   using CallerHandler = std::function<void(const FlowKey&, ByteView)>;
   using FrameHandler =
       std::function<void(const engine::SendFrame&, const Endpoint& from)>;
@@ -96,6 +97,7 @@
   NetworkFaults faults;
   Duration tick{std::chrono::milliseconds(20)};
   UpstreamHandler on_upstream;  ///< A datagram reached an upstream.
+  CloseHandler on_close;        ///< A flow's upstream socket was closed.
   CallerHandler on_caller;      ///< A datagram reached a caller.
   FrameHandler on_frame;        ///< A frame was sent; for counting hops.
 
