--- a/experiments/engine_run.cc
+++ b/experiments/engine_run.cc
@@ -19,6 +19,8 @@
 constexpr int kNetworkShift = 16;
 /// Time after the last arrival for answers to come.
 constexpr std::chrono::seconds kTail{30};
+/// Time before the first arrival, longer than a walk remembers joins.
+constexpr std::chrono::seconds kSettleTime{200};
 
 Bytes ToToken(std::uint32_t number) {
   Bytes token(sizeof number);
@@ -120,7 +122,7 @@
 
 Result EngineRun::Run() {
   network_.Publish();
-  network_.RunFor(std::chrono::seconds(1));
+  network_.RunFor(kSettleTime);
   start_ = network_.now();
   for (const auto& change : options_.changes) {
     network_.After(change.at, [this, change] { Apply(change); });
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -10,6 +10,7 @@
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
 #include "cowslip/engine/guest_list.h"
+#include "cowslip/engine/observation_table.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -33,8 +34,13 @@
   std::size_t permit_capacity = 100'000;
   std::size_t redirect_capacity = 200'000;
   std::size_t request_capacity = 20'000;
+  std::size_t observation_capacity = 100'000;
   Duration slow_start{};
   Duration clock_skew{std::chrono::seconds(1)};
+  /// Longest time by which views of the members differ.
+  Duration view_lag{std::chrono::seconds(5)};
+  flow::SilenceLimits silence{std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(50), 8};
   /// A pause between two events longer than this makes the sidecar refuse new
   /// work until it is confirmed.
   Duration lease{std::chrono::seconds(5)};
@@ -61,6 +67,7 @@
   void StartDrain() { draining_ = true; }
 
   bool draining() const { return draining_; }
+  bool Owns(const FlowKey& key) const;
   std::size_t flow_count() const { return flows_.size(); }
   std::size_t known_balancers() const { return replies_.known_balancers(); }
   std::size_t runs_in_progress() const {
@@ -91,18 +98,49 @@
   void PassOn(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void Forward(const link::Frame& frame, const Upstream& to,
                std::uint8_t extra_flags, SidecarEffects& effects);
+  void SendProbe(const Upstream& to, SidecarEffects& effects);
+  void ProbeSuspects(SidecarEffects& effects);
   void ServeOwned(flow::FlowSlot slot, const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
-  void AnnounceOwnership(flow::Flow& flow, const link::VisitedList& visited,
-                         TimePoint now, SidecarEffects& effects);
-  void RefreshRedirects(flow::Flow& flow, TimePoint now,
-                        SidecarEffects& effects);
   void ServeGuest(const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
   void ExpireGuests(TimePoint now, SidecarEffects& effects);
+  std::optional<flow::FlowSlot> Own(const FlowKey& key, TimePoint now);
+  const Upstream* FirstToAdopt(const link::FrameHeader& header);
   void ExpireFlows(TimePoint now, SidecarEffects& effects);
   void EndFlow(flow::FlowSlot slot, SidecarEffects& effects);
 
+  // Ownership: sidecar_ownership.cc.
+  link::FrameHeader MakeRedirect(const flow::Flow& flow) const;
+  void SendRedirect(const flow::Flow& flow, const Endpoint& to,
+                    SidecarEffects& effects);
+  void AnnounceOwnership(const flow::Flow& flow,
+                         const link::FrameHeader& header,
+                         SidecarEffects& effects);
+  void RefreshRedirects(flow::Flow& flow, SidecarEffects& effects);
+  void OnRedirect(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void Arbitrate(flow::FlowSlot slot, const link::Frame& frame,
+                 const Endpoint& from, SidecarEffects& effects);
+  void Yield(flow::FlowSlot slot, const link::Frame& frame,
+             SidecarEffects& effects);
+
+  // Feeds: sidecar_feeds.cc.
+  bool TrackCallerMessage(flow::FlowSlot slot, ByteView payload,
+                          SidecarEffects& effects);
+  bool TrackUpstreamMessage(flow::FlowSlot slot, coap::Message& message,
+                            SidecarEffects& effects);
+  void RepeatNotifications(SidecarEffects& effects);
+  void AckHandover(const FlowKey& key, const Observation& observation,
+                   SidecarEffects& effects);
+  void OnHandover(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void HandOverFeeds(SidecarEffects& effects);
+  const Upstream* Successor(const FlowKey& key, std::uint32_t tries);
+  void SendHandover(flow::FlowSlot slot, const Feed& feed,
+                    Observation& observation, SidecarEffects& effects);
+  void OnHandoverAck(const link::Frame& frame, SidecarEffects& effects);
+
   // Requests: sidecar_requests.cc.
   void OnCallerMessage(flow::FlowSlot slot, ByteView payload,
                        const link::Frame& frame, TimePoint now,
@@ -132,8 +170,10 @@
                     SidecarEffects& effects);
   bool MoveIdleFlow(flow::FlowSlot slot, const link::Frame& frame,
                     TimePoint now, SidecarEffects& effects);
-  void OnResponse(flow::FlowSlot slot, const coap::Message& response,
-                  ByteView payload, TimePoint now, SidecarEffects& effects);
+  bool ExpectsResponse(flow::FlowSlot slot, const coap::Message& response,
+                       TimePoint now, std::optional<RunTable::Run>& run);
+  RequestAdded NoteRequest(flow::FlowSlot slot, const coap::Message& request,
+                           ByteView datagram);
   void EndWork(const flow::Work& work, bool refused, TimePoint now);
   void Retry(const RequestTable::Waiting& request, TimePoint now,
              SidecarEffects& effects);
@@ -148,6 +188,7 @@
                 TimePoint now, SidecarEffects& effects);
 
   // Frames: sidecar_frames.cc.
+  void ForgetRestarted(const membership::ServiceView* before);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
   void Reply(flow::FlowSlot slot, ByteView payload, SidecarEffects& effects);
   void SendReply(flow::FlowSlot slot, ByteView payload, bool matters,
@@ -164,6 +205,7 @@
   flow::RedirectTable redirects_;
   flow::Admission admission_;
   flow::Ranking ranking_;
+  flow::ContactTable contacts_;
   permit::PermitIssuer issuer_;
   permit::PermitTable permits_;
   RunTable runs_;
@@ -176,7 +218,10 @@
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
+  ObservationTable observations_;
+  std::uint64_t last_handover_ = 0;
   TimePoint now_{};  ///< Of the latest event.
+  Endpoint from_;    ///< Sender of the latest frame.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/counters.cc
+++ b/packages/engine/src/counters.cc
@@ -40,6 +40,9 @@
         "requests_overdue",
         "transfers_restarted",
         "upstream_refusals",
+        "flows_yielded",
+        "feeds_not_tracked",
+        "notifications_repeated",
     };
 
 }  // namespace
--- a/packages/engine/src/sidecar_idempotent.cc
+++ b/packages/engine/src/sidecar_idempotent.cc
@@ -23,8 +23,7 @@
     return;
   }
   const bool busy = requests_.IsBusy(slot);
-  const auto deadline = now + service_->service.request_timeout;
-  const auto added = requests_.Add(slot, request, frame.payload, deadline);
+  const auto added = NoteRequest(slot, request, frame.payload);
   if (added == RequestAdded::kFull) {
     counters_->Add(Counter::kRequestsRefused);
     Refuse(slot, request, effects);
@@ -68,28 +67,30 @@
   ReplyMessage(slot, coap::MakeUnavailable(request, kRetryAfter), effects);
 }
 
-void Sidecar::OnResponse(flow::FlowSlot slot, const Message& response,
-                         ByteView payload, TimePoint now,
-                         SidecarEffects& effects) {
+RequestAdded Sidecar::NoteRequest(flow::FlowSlot slot, const Message& request,
+                                  ByteView datagram) {
+  const auto deadline = now_ + service_->service.request_timeout;
+  return requests_.Add(slot, request, datagram, deadline);
+}
+
+/// Ends the work that a response of the upstream answers.
+/// @param run receives the permitted run, if it is one.
+/// @return false if nothing expects the response.
+bool Sidecar::ExpectsResponse(flow::FlowSlot slot, const Message& response,
+                              TimePoint now,
+                              std::optional<RunTable::Run>& run) {
   const bool refused = response.code == Code::kServiceUnavailable;
-  const auto run = runs_.Take(slot, response.token);
+  run = runs_.Take(slot, response.token);
   if (run) {
     EndWork(run->work, refused, now);
-    FinishRun(*run, response, now, effects);
-    return;
+    return true;
   }
   flow::Work work;
   const auto match = requests_.OnResponse(slot, response, now, work);
-  if (match == ResponseMatch::kForeign) {
-    counters_->Add(Counter::kDropForeignReply);
-    return;
-  }
-  if (match == ResponseMatch::kFirst) {
-    EndWork(work, refused, now);
-  }
-  const bool matters = response.type == coap::Type::kCon ||
-                       response.Find(OptionNumber::kObserve) != nullptr;
-  SendReply(slot, payload, matters, effects);
+  if (match == ResponseMatch::kFirst) EndWork(work, refused, now);
+  if (match != ResponseMatch::kForeign) return true;
+  counters_->Add(Counter::kDropForeignReply);
+  return false;
 }
 
 void Sidecar::EndWork(const flow::Work& work, bool refused, TimePoint now) {
