--- a/examples/embed_flow.cc
+++ b/examples/embed_flow.cc
@@ -1,7 +1,6 @@
 // Ranks the upstreams of a service for a flow and finds the flow's owner after
 // a join, with the flow library alone.
 
-#include <algorithm>
 #include <iostream>
 
 #include "cowslip/flow.h"
@@ -13,6 +12,7 @@
 using cowslip::TimePoint;
 using cowslip::Upstream;
 using cowslip::UpstreamId;
+using cowslip::flow::WalkPlace;
 
 std::vector<Upstream> MakeUpstreams(TimePoint now) {
   std::vector<Upstream> upstreams;
@@ -25,19 +25,19 @@
   return upstreams;
 }
 
-void PrintWalk(const cowslip::flow::Ranking& ranking, TimePoint now) {
+/// Prints whom the sidecar of the first-ranked upstream asks for the owner.
+/// The asked one judges in turn whether the walk goes on.
+void PrintNext(const cowslip::flow::Ranking& ranking, TimePoint now) {
   const cowslip::flow::WalkWindow window{std::chrono::minutes(2),
                                          std::chrono::seconds(1)};
-  std::vector<UpstreamId> asked;
-  const auto seen = [&](const Upstream& upstream) {
-    return std::find(asked.begin(), asked.end(), upstream.id) != asked.end();
+  const auto& self = *ranking.order().front();
+  const auto place_of = [&](const Upstream& upstream) {
+    return upstream.id == self.id ? WalkPlace::kSelf : WalkPlace::kUnasked;
   };
-  while (const auto* next =
-             cowslip::flow::NextOnWalk(ranking.order(), window, now, seen)) {
-    std::cout << " " << Raw(next->id);
-    asked.push_back(next->id);
-  }
-  std::cout << "\n";
+  const auto* next = cowslip::flow::NextOnWalk(ranking.order(), window,
+                                               self.joined, now, place_of);
+  std::cout << (next == nullptr ? "nobody" : std::to_string(Raw(next->id)))
+            << "\n";
 }
 
 }  // namespace
@@ -48,13 +48,13 @@
   const FlowKey flow{Endpoint{0x0a000001, 40000}, Endpoint{0x0a330065, 5683}};
   cowslip::flow::Ranking ranking;
   ranking.Build(upstreams, HashFlow(flow));
-  std::cout << "asked in steady state:";
-  PrintWalk(ranking, now);
+  std::cout << "asked in steady state: ";
+  PrintNext(ranking, now);
   const auto first = ranking.order().front()->id;
   for (auto& upstream : upstreams) {
     if (upstream.id == first) upstream.joined = now - std::chrono::seconds(5);
   }
   ranking.Build(upstreams, HashFlow(flow));
-  std::cout << "asked after a restart of upstream " << Raw(first) << ":";
-  PrintWalk(ranking, now);
+  std::cout << "asked after a restart of upstream " << Raw(first) << ": ";
+  PrintNext(ranking, now);
 }
--- a/packages/engine/include/cowslip/engine/counters.h
+++ b/packages/engine/include/cowslip/engine/counters.h
@@ -43,6 +43,9 @@
   kRequestsOverdue,
   kTransfersRestarted,
   kUpstreamRefusals,
+  kFlowsYielded,
+  kFeedsNotTracked,
+  kNotificationsRepeated,
   kCount,
 };
 
--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -45,6 +45,7 @@
       if (upstream->id == options_.id || visited.Contains(upstream->id)) {
         continue;
       }
+      if (contacts_.IsSilent(upstream->id)) continue;
       if (upstream->state != UpstreamState::kActive) continue;
       if (!members_.Avoids(upstream->id, now)) return upstream;
     }
@@ -57,6 +58,10 @@
 bool Sidecar::PassWork(const Frame& frame, std::uint8_t extra_flags,
                        TimePoint now, SidecarEffects& effects) {
   Frame passed = frame;
+  // Those that were asked who owns the flow were not asked for room.
+  if (!frame.header.Has(link::kFlagPassedOn)) {
+    passed.header.visited.ForgetVisited();
+  }
   const auto* next = NextForWork(passed.header, now);
   if (next == nullptr) return false;
   if ((extra_flags & link::kFlagGuest) == 0) {
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -34,6 +34,7 @@
   kFlagReachable = 1 << 5,  ///< kDeathAnswer: the upstream was reached.
   kFlagByRedirect = 1 << 6,  ///< Forwarded by an upstream that knows the owner.
   kFlagLeaving = 1 << 7,     ///< kProbeAck: the sender takes no new work.
+  kFlagVerdict = 1 << 7,     ///< kRedirect: the receiver gives its flow up.
 };
 
 /// The least loaded of the full upstreams that a frame has passed. On
