Followers take their place in the tree; outages end at once

After an outage a watcher asked with its old index and learnt only at the next change that the store was back; now it lists. A ticket that a data frame tells of is fetched by one more stream if the parents don't answer within 200 ms (relay_test).

--- a/packages/daemon/include/cowslip/daemon/control_thread.h
+++ b/packages/daemon/include/cowslip/daemon/control_thread.h
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <thread>
 
 #include "cowslip/daemon/control_state.h"
@@ -36,6 +37,8 @@
   bool store_reachable() const { return stats_.store_reachable; }
   TicketNumber ticket() const { return TicketNumber(stats_.ticket.load()); }
   const ControlStats& stats() const { return stats_; }
+  /// @return why no ticket is in force, for operators.
+  std::string_view NoTicketReason() const;
 
  private:
   ControlThread(ViewCell& views, NoticedTicket noticed);
@@ -47,6 +50,7 @@
   void LogEffects();
   void Publish();
   void UpdateStats();
+  void WarnWithoutTicket(TimePoint now);
 
   ViewCell& views_;
   NoticedTicket noticed_;
@@ -57,6 +61,7 @@
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StoreCalls> calls_;
   bool store_lost_ = false;
+  TimePoint warn_at_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -16,6 +16,9 @@
 using telemetry::Log;
 
 constexpr std::chrono::milliseconds kTick{50};
+/// Time without a ticket between two warnings.
+constexpr std::chrono::seconds kWarnInterval{10};
+constexpr std::chrono::seconds kFirstWarning{3};
 
 std::uint64_t RandomSeed() {
   std::uint64_t seed = 0;
@@ -30,7 +33,6 @@
   options.seed = RandomSeed();
   if (!settings.sidecar) return options;
   options.leaf = true;
-  options.parents = 1;
   options.interest = {false, {settings.sidecar->service}};
   return options;
 }
@@ -50,7 +52,8 @@
 ControlThread::ControlThread(ViewCell& views, NoticedTicket noticed)
     : views_(views),
       noticed_(std::move(noticed)),
-      mailbox_(std::make_unique<Mailbox>()) {}
+      mailbox_(std::make_unique<Mailbox>()),
+      warn_at_(std::chrono::steady_clock::now() + kFirstWarning) {}
 
 bool ControlThread::Open(const settings::DaemonSettings& settings,
                          LastReason<DaemonError>& reason) {
@@ -92,9 +95,24 @@
     relay_->node().OnTick(now, relay_->effects());
     CarryOut();
     UpdateStats();
+    WarnWithoutTicket(now);
   }
 }
 
+std::string_view ControlThread::NoTicketReason() const {
+  if (stats_.store_reachable) return "no ticket is in force";
+  if (stats_.links == 0) {
+    return "no ticket is known: neither the store nor a peer is reachable";
+  }
+  return "no ticket is known: the store is unreachable and no peer has one";
+}
+
+void ControlThread::WarnWithoutTicket(TimePoint now) {
+  if (stats_.ticket != 0 || now < warn_at_) return;
+  warn_at_ = now + kWarnInterval;
+  Log(Level::kWarn, "no_ticket", {{"reason", NoTicketReason()}});
+}
+
 void ControlThread::HandleMail() {
   auto& node = relay_->node();
   auto& effects = relay_->effects();
--- a/packages/daemon/src/instance_pages.cc
+++ b/packages/daemon/src/instance_pages.cc
@@ -10,13 +10,7 @@
   HttpContent content;
   content.health = [&control] {
     if (control.ticket() != TicketNumber{}) return Health{true, "ok"};
-    if (control.store_reachable())
-      return Health{false, "no ticket is in force"};
-    const bool alone = control.stats().links == 0;
-    return Health{false, alone ? "no ticket is known: neither the store nor a "
-                                 "peer is reachable"
-                               : "no ticket is known: the store is unreachable "
-                                 "and no reachable peer has one"};
+    return Health{false, std::string(control.NoTicketReason())};
   };
   content.ticket = [&settings, &control] {
     return nlohmann::json{{"instance", settings.instance},
--- a/packages/daemon/src/store_watch.cc
+++ b/packages/daemon/src/store_watch.cc
@@ -9,7 +9,7 @@
 
 constexpr std::chrono::seconds kWatchWait{55};
 constexpr milliseconds kMinRetry{200};
-constexpr milliseconds kMaxRetry{3000};
+constexpr milliseconds kMaxRetry{1000};
 
 }  // namespace
 
@@ -63,6 +63,8 @@
   if (!result) {
     if (reason.code() == platform::PlatformError::kCancelled) return;
     reachable_ = false;
+    // A listing, which comes at once, tells that the store is back.
+    index = 0;
     mailbox_.Post(StoreLost{reason.Message()});
     WaitToRetry();
     return;
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -91,6 +91,9 @@
   void ReviewParents(TimePoint now, Effects& effects);
   void ReviewNotice(TimePoint now, Effects& effects);
   bool ShouldWatch(TimePoint now);
+  void ReviewPlace(TimePoint now, Effects& effects);
+  std::vector<Endpoint> Preferred() const;
+  void OpenTo(const Endpoint& control, Effects& effects);
   void DropSurplus(TimePoint now, Effects& effects);
   Depth DepthWithout(std::optional<LinkId> excluded) const;
   std::size_t outgoing() const;
@@ -115,6 +118,7 @@
   std::size_t attempt_ = 0;
   Duration retry_;
   TimePoint next_attempt_;
+  TimePoint next_move_;
   TimePoint linked_at_;  ///< Last instant with a stream or the store.
   TimePoint rooted_at_;  ///< Last instant with a way to the store.
   Duration lonely_patience_;
--- a/packages/relay/include/cowslip/relay/node_options.h
+++ b/packages/relay/include/cowslip/relay/node_options.h
@@ -20,11 +20,15 @@
   std::vector<Endpoint> seeds;  ///< Control endpoints from the settings.
   TreeShape shape;
   std::size_t parents = 2;  ///< Streams towards others that are kept open.
-  std::chrono::milliseconds beat{1000};
+  std::chrono::milliseconds beat{2000};
   /// A stream that is silent for longer is given up.
-  std::chrono::milliseconds silence{3000};
+  std::chrono::milliseconds silence{5000};
   /// Time without any stream after which the store is asked instead.
   std::chrono::milliseconds patience{1500};
+  /// Time for a stream to bring a ticket that a data frame told of.
+  std::chrono::milliseconds answer_limit{200};
+  /// Time between two moves towards the place in the tree.
+  std::chrono::milliseconds move_interval{2000};
   std::chrono::milliseconds min_retry{100};
   std::chrono::milliseconds max_retry{5000};
   std::uint64_t seed = 1;  ///< Spreads retries.
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -9,10 +9,12 @@
       random_(options.seed),
       retry_(options.min_retry),
       next_attempt_(now),
+      next_move_(now),
       linked_at_(now),
       rooted_at_(now),
       notice_review_(now) {
   lonely_patience_ = Jitter(options_.patience);
+  std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
 }
 
 Duration Node::Jitter(Duration base) {
@@ -114,6 +116,7 @@
   ReviewLinks(now, effects);
   ReviewWatch(now, effects);
   ReviewParents(now, effects);
+  ReviewPlace(now, effects);
   ReviewNotice(now, effects);
 }
 
--- a/packages/relay/src/node_review.cc
+++ b/packages/relay/src/node_review.cc
@@ -3,6 +3,12 @@
 #include "cowslip/relay/node.h"
 
 namespace cowslip::relay {
+namespace {
+
+/// Streams that may wait for an answer at the same time.
+constexpr std::size_t kMaxPending = 3;
+
+}  // namespace
 
 /// @return streams that this process opened or is opening.
 std::size_t Node::outgoing() const {
@@ -100,39 +106,80 @@
   return candidates;
 }
 
-/// Closes one stream too many: the one that is furthest from the store.
+/// @return the control endpoints that this process should follow.
+std::vector<Endpoint> Node::Preferred() const {
+  std::vector<Endpoint> preferred;
+  for (const auto& peer : ParentCandidates(options_.self, options_.leaf,
+                                           KnownPeers(), options_.shape)) {
+    if (preferred.size() == options_.parents) break;
+    preferred.push_back(peer.control);
+  }
+  return preferred;
+}
+
+/// Closes one stream too many: one that doesn't lead to the store, or else one
+/// that the tree doesn't ask for.
 void Node::DropSurplus(TimePoint now, Effects& effects) {
   if (parents() <= options_.parents) return;
+  const auto preferred = Preferred();
+  const auto worth = [&](const Link& link) {
+    const auto end = preferred.end();
+    const bool wanted =
+        std::find(preferred.begin(), end, link.peer.control) != end;
+    return std::pair(link.depth < kUnrooted, wanted);
+  };
   std::optional<LinkId> worst;
   for (const auto& [id, link] : links_) {
     if (!link.outgoing || !link.greeted) continue;
-    if (!worst || link.depth >= links_[*worst].depth) worst = id;
+    if (!worst || worth(link) <= worth(links_.at(*worst))) worst = id;
   }
   effects.closes.push_back({*worst});
   links_.erase(*worst);
   next_attempt_ = now + Jitter(retry_);
 }
 
+void Node::OpenTo(const Endpoint& control, Effects& effects) {
+  const LinkId id{next_link_++};
+  auto& link = links_[id];
+  link.control = control;
+  link.outgoing = true;
+  effects.opens.push_back({id, control});
+}
+
+/// Moves towards its place in the tree, one stream at a time: the first
+/// streams go to whoever was known at the start.
+void Node::ReviewPlace(TimePoint now, Effects& effects) {
+  const bool settled = parents() == options_.parents && outgoing() == parents();
+  if (!settled || now < next_move_) return;
+  next_move_ = now + Jitter(options_.move_interval);
+  for (const auto& control : Preferred()) {
+    if (IsLinked(control)) continue;
+    OpenTo(control, effects);
+    return;
+  }
+}
+
 /// Keeps the wanted number of streams open, and looks round with one more
-/// while none leads to the store.
+/// while none leads to the store or none brings a ticket that was noticed.
 void Node::ReviewParents(TimePoint now, Effects& effects) {
   DropSurplus(now, effects);
   const bool lost = now - rooted_at_ > options_.patience;
-  const auto wanted = options_.parents + (lost ? 1 : 0);
-  const bool busy = outgoing() > parents();
-  if (busy || outgoing() >= wanted || now < next_attempt_) return;
+  const bool behind =
+      noticed_ > tickets_.number() && now - noticed_at_ > options_.answer_limit;
+  const auto wanted = options_.parents + (lost || behind ? 1 : 0);
+  const bool busy = outgoing() - parents() >= kMaxPending;
+  if (busy || parents() >= wanted || now < next_attempt_) return;
   const auto candidates = Candidates();
-  next_attempt_ = now + Jitter(retry_);
+  // A process that is stopped accepts streams and doesn't answer: the next one
+  // is tried meanwhile.
+  next_attempt_ =
+      now + std::max<Duration>(Jitter(retry_), options_.answer_limit);
   if (candidates.empty()) return;
   const auto control = candidates[attempt_ % candidates.size()];
   if (++attempt_ % candidates.size() == 0) {
     retry_ = std::min<Duration>(retry_ * 2, options_.max_retry);
   }
-  const LinkId id{next_link_++};
-  auto& link = links_[id];
-  link.control = control;
-  link.outgoing = true;
-  effects.opens.push_back({id, control});
+  OpenTo(control, effects);
 }
 
 /// Asks the store for tickets if no peer brought the one that was noticed.
--- a/tests/process/deployment_options.h
+++ b/tests/process/deployment_options.h
@@ -23,6 +23,8 @@
   std::uint64_t seed = 1;
   int balancers = 3;
   int upstreams_per_service = 2;
+  /// Balancers that every daemon names as peers in its settings.
+  int peers = 0;
   int slots = 7;
   std::string drain_timeout = "10s";
   /// Services of ticket 1; sidecar and upstream n of service s have the id
