--- a/packages/daemon/src/sidecar_health.h
+++ b/packages/daemon/src/sidecar_status.h
@@ -7,12 +7,19 @@
 
 namespace cowslip::daemon {
 
-/// Adds to the health of an instance whether its incarnation may take work.
-class SidecarHealth {
+/// What other threads see of a sidecar, before and after it has a loop.
+class SidecarStatus {
  public:
   /// The incarnation was claimed and the loop is there.
   void SetLoop(const SidecarLoop* loop) { loop_ = loop; }
 
+  /// @return the highest ticket number seen on frames.
+  TicketNumber noticed_ticket() const {
+    const auto* loop = loop_.load();
+    return loop == nullptr ? TicketNumber{} : loop->noticed_ticket();
+  }
+
+  /// Adds to the health of an instance whether its incarnation may take work.
   Health Judge(const Health& instance) const {
     const auto* loop = loop_.load();
     if (loop == nullptr) {
--- a/packages/ticket/src/ticket.cc
+++ b/packages/ticket/src/ticket.cc
@@ -1,7 +1,14 @@
 #include "cowslip/ticket/ticket.h"
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <array>
+#include <cstdio>
+#include <map>
 #include <set>
 
+#include "cowslip/ticket/ticket_state.h"
 #include "cowslip/yaml.h"
 
 namespace cowslip::ticket {
@@ -60,6 +67,12 @@
   return service;
 }
 
+/// The elements of one list, each with the reader that knows its line.
+struct ServiceElement {
+  Service service;
+  yaml::MapReader reader;
+};
+
 void CheckDuplicates(const Service& service, std::set<std::string>& seen,
                      yaml::MapReader& reader) {
   const auto id = "id " + std::to_string(Raw(service.id));
@@ -72,19 +85,41 @@
   }
 }
 
-Ticket ReadTicket(yaml::MapReader& reader) {
-  Ticket ticket;
-  ticket.number = TicketNumber(reader.Number("ticket", {1, kMaxTicketNumber}));
-  ticket.author = reader.Text("author");
-  ticket.note = reader.Text("note", "");
-  std::set<std::string> seen;
+/// Checks a service against those that the ticket leaves as they are.
+void CheckAgainst(const std::map<ServiceId, Service>& kept,
+                  ServiceElement& element) {
+  for (const auto& [id, other] : kept) {
+    if (other.name == element.service.name) {
+      element.reader.Fail(YamlError::kDuplicateKey, "name",
+                          "held by service " + std::to_string(Raw(id)));
+    }
+    if (other.address == element.service.address) {
+      element.reader.Fail(YamlError::kDuplicateKey, "address",
+                          "held by service " + std::to_string(Raw(id)));
+    }
+  }
+}
+
+std::vector<ServiceElement> ReadServices(yaml::MapReader& reader,
+                                         std::set<std::string>& seen) {
+  std::vector<ServiceElement> elements;
   std::size_t index = 0;
   for (const auto& node : reader.List("services", false)) {
     auto element = reader.Element(node, "services", index++);
-    ticket.services.push_back(ReadService(element));
-    CheckDuplicates(ticket.services.back(), seen, element);
+    auto service = ReadService(element);
+    CheckDuplicates(service, seen, element);
+    elements.push_back({std::move(service), std::move(element)});
   }
-  index = 0;
+  return elements;
+}
+
+/// @param state std::nullptr to check the ticket on its own.
+/// @param unknown set if a service to remove is not known.
+std::vector<ServiceId> ReadRemoved(yaml::MapReader& reader,
+                                   std::set<std::string>& seen,
+                                   const TicketState* state, bool& unknown) {
+  std::vector<ServiceId> removed;
+  std::size_t index = 0;
   for (const auto& node : reader.List("removed", false)) {
     auto element = reader.Element(node, "removed", index++);
     const auto id = ServiceId(
@@ -92,15 +127,76 @@
     if (!seen.insert("id " + std::to_string(Raw(id))).second) {
       element.Fail(YamlError::kDuplicateKey, "id");
     }
+    const bool missing = state != nullptr && state->Find(id) == nullptr;
+    if (element.Finish() && missing) {
+      unknown = true;
+      element.Fail(YamlError::kOutOfRange, "id");
+    }
+    removed.push_back(id);
+  }
+  return removed;
+}
+
+std::vector<FoldedTicket> ReadFolded(yaml::MapReader& reader) {
+  std::vector<FoldedTicket> folded;
+  std::size_t index = 0;
+  for (const auto& node : reader.List("folded", false)) {
+    auto element = reader.Element(node, "folded", index++);
+    FoldedTicket ticket;
+    ticket.number =
+        TicketNumber(element.Number("ticket", {1, kMaxTicketNumber}));
+    ticket.author = element.Text("author");
+    ticket.note = element.Text("note", "");
+    ticket.digest = element.Text("digest");
     element.Finish();
-    ticket.removed.push_back(id);
+    folded.push_back(std::move(ticket));
   }
+  return folded;
+}
+
+Ticket ReadTicket(yaml::MapReader& reader, const TicketState* state,
+                  bool snapshot, bool& unknown) {
+  Ticket ticket;
+  ticket.number = TicketNumber(reader.Number("ticket", {1, kMaxTicketNumber}));
+  ticket.author = reader.Text("author");
+  ticket.note = reader.Text("note", "");
+  std::set<std::string> seen;
+  auto elements = ReadServices(reader, seen);
+  ticket.removed = ReadRemoved(reader, seen, state, unknown);
+  if (snapshot) ticket.folded = ReadFolded(reader);
   reader.Finish();
+  auto kept =
+      state != nullptr ? state->services() : std::map<ServiceId, Service>{};
+  for (const auto id : ticket.removed) kept.erase(id);
+  for (const auto& element : elements) kept.erase(element.service.id);
+  for (auto& element : elements) {
+    CheckAgainst(kept, element);
+    ticket.services.push_back(std::move(element.service));
+  }
   return ticket;
 }
 
+std::optional<Ticket> Parse(std::string_view text, std::string_view file,
+                            const TicketState* state, bool snapshot,
+                            LastReason<TicketError>& reason) {
+  LastReason<YamlError> fault;
+  const auto node = yaml::ParseMap(text, file, fault);
+  Ticket ticket;
+  bool unknown = false;
+  if (node) {
+    yaml::MapReader reader(*node, file, "", fault);
+    ticket = ReadTicket(reader, state, snapshot, unknown);
+  }
+  if (fault.ok()) return ticket;
+  reason.Set(unknown ? TicketError::kUnknownService : FromYaml(fault.code()),
+             fault.detail());
+  return std::nullopt;
+}
+
+/// Writes what differs from the defaults, on one line.
 void EmitService(YAML::Emitter& out, const Service& service) {
-  out << YAML::BeginMap;
+  const Service defaults;
+  out << YAML::Flow << YAML::BeginMap;
   out << YAML::Key << "id" << YAML::Value << Raw(service.id);
   out << YAML::Key << "name" << YAML::Value << service.name;
   out << YAML::Key << "address" << YAML::Value << ToString(service.address);
@@ -108,29 +204,62 @@
       << (service.protocol == Protocol::kCoap ? "coap" : "datagram");
   out << YAML::Key << "prefer" << YAML::Value
       << (service.prefer == Preference::kBalance ? "balance" : "continuity");
-  out << YAML::Key << "idle_timeout" << YAML::Value
-      << yaml::FormatTime(service.idle_timeout);
-  out << YAML::Key << "request_timeout" << YAML::Value
-      << yaml::FormatTime(service.request_timeout);
-  out << YAML::Key << "max_flows" << YAML::Value << service.max_flows;
-  out << YAML::Key << "max_queue" << YAML::Value << service.max_queue;
+  if (service.idle_timeout != defaults.idle_timeout) {
+    out << YAML::Key << "idle_timeout" << YAML::Value
+        << yaml::FormatTime(service.idle_timeout);
+  }
+  if (service.request_timeout != defaults.request_timeout) {
+    out << YAML::Key << "request_timeout" << YAML::Value
+        << yaml::FormatTime(service.request_timeout);
+  }
+  if (service.max_flows != defaults.max_flows) {
+    out << YAML::Key << "max_flows" << YAML::Value << service.max_flows;
+  }
+  if (service.max_queue != defaults.max_queue) {
+    out << YAML::Key << "max_queue" << YAML::Value << service.max_queue;
+  }
+  out << YAML::EndMap;
+}
+
+void EmitFolded(YAML::Emitter& out, const FoldedTicket& folded) {
+  out << YAML::Flow << YAML::BeginMap;
+  out << YAML::Key << "ticket" << YAML::Value << Raw(folded.number);
+  out << YAML::Key << "author" << YAML::Value << folded.author;
+  out << YAML::Key << "note" << YAML::Value << folded.note;
+  out << YAML::Key << "digest" << YAML::Value << folded.digest;
   out << YAML::EndMap;
 }
 
 }  // namespace
 
+std::string DigestOf(std::string_view text) {
+  constexpr int kHalfDigits = 16;
+  const auto hash = XXH3_128bits(text.data(), text.size());
+  std::array<char, 2 * kHalfDigits + 1> hex{};
+  std::snprintf(hex.data(), hex.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(hash.high64),
+                static_cast<unsigned long long>(hash.low64));
+  return hex.data();
+}
+
 std::optional<Ticket> ParseTicket(std::string_view text, std::string_view file,
                                   LastReason<TicketError>& reason) {
-  LastReason<YamlError> fault;
-  const auto node = yaml::ParseMap(text, file, fault);
-  Ticket ticket;
-  if (node) {
-    yaml::MapReader reader(*node, file, "", fault);
-    ticket = ReadTicket(reader);
-  }
-  if (fault.ok()) return ticket;
-  reason.Set(FromYaml(fault.code()), fault.detail());
-  return std::nullopt;
+  return Parse(text, file, nullptr, false, reason);
+}
+
+std::optional<Ticket> ParseTicketFor(const TicketState& state,
+                                     std::string_view text,
+                                     std::string_view file,
+                                     LastReason<TicketError>& reason) {
+  auto ticket = ParseTicket(text, file, reason);
+  if (!ticket || Raw(ticket->number) != Raw(state.number()) + 1) return ticket;
+  return Parse(text, file, &state, false, reason);
+}
+
+std::optional<Ticket> ParseSnapshot(std::string_view text,
+                                    std::string_view file,
+                                    LastReason<TicketError>& reason) {
+  return Parse(text, file, nullptr, true, reason);
 }
 
 std::string FormatTicket(const Ticket& ticket) {
@@ -144,11 +273,24 @@
   out << YAML::EndSeq;
   out << YAML::Key << "removed" << YAML::Value << YAML::BeginSeq;
   for (const auto id : ticket.removed) {
-    out << YAML::BeginMap << YAML::Key << "id" << YAML::Value << Raw(id)
-        << YAML::EndMap;
+    out << YAML::Flow << YAML::BeginMap << YAML::Key << "id" << YAML::Value
+        << Raw(id) << YAML::EndMap;
+  }
+  out << YAML::EndSeq;
+  if (!ticket.folded.empty()) {
+    out << YAML::Key << "folded" << YAML::Value << YAML::BeginSeq;
+    for (const auto& folded : ticket.folded) EmitFolded(out, folded);
+    out << YAML::EndSeq;
   }
-  out << YAML::EndSeq << YAML::EndMap;
+  out << YAML::EndMap;
   return out.c_str();
 }
 
+std::size_t FormattedSize(const Service& service) {
+  constexpr std::size_t kLineFrame = 5;  // "\n  - "
+  YAML::Emitter out;
+  EmitService(out, service);
+  return out.size() + kLineFrame;
+}
+
 }  // namespace cowslip::ticket
