--- a/packages/daemon/include/cowslip/daemon/sidecar_loop.h
+++ b/packages/daemon/include/cowslip/daemon/sidecar_loop.h
@@ -43,7 +43,6 @@
   bool upstream_down() const { return upstream_down_; }
   const engine::Counters& counters() const { return sidecar_.counters(); }
   std::uint64_t dropped() const { return dropped_; }
-  TicketNumber noticed_ticket() const { return TicketNumber(noticed_.load()); }
 
  private:
   SidecarLoop(const settings::DaemonSettings& settings, ViewCell& views,
@@ -82,7 +81,6 @@
   std::atomic<membership::LeaseState> lease_{membership::LeaseState::kHeld};
   std::atomic<bool> upstream_down_{false};
   std::atomic<std::uint64_t> dropped_{0};
-  std::atomic<std::uint64_t> noticed_{0};
 };
 
 }  // namespace cowslip::daemon
--- a/packages/daemon/include/cowslip/daemon/view_cell.h
+++ b/packages/daemon/include/cowslip/daemon/view_cell.h
@@ -8,7 +8,8 @@
 
 namespace cowslip::daemon {
 
-/// Hands the latest view from the control thread to the traffic threads.
+/// Hands the latest view from the control thread to the traffic threads, and
+/// ticket numbers that these see on frames the other way.
 class ViewCell {
  public:
   void Publish(membership::ViewPtr view) {
@@ -22,8 +23,17 @@
     const std::lock_guard lock(mutex_);
     return view_;
   }
+  /// Notes the ticket number of a frame; the control thread fetches newer ones.
+  void NoteTicket(TicketNumber number) {
+    auto highest = noticed_.load(std::memory_order_relaxed);
+    while (highest < Raw(number) &&
+           !noticed_.compare_exchange_weak(highest, Raw(number))) {
+    }
+  }
+  TicketNumber noticed_ticket() const { return TicketNumber(noticed_.load()); }
 
  private:
+  std::atomic<std::uint64_t> noticed_{0};
   std::atomic<std::uint64_t> epoch_{0};
   mutable std::mutex mutex_;
   membership::ViewPtr view_;
--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -11,7 +11,7 @@
 #include "cowslip/daemon/membership_thread.h"
 #include "cowslip/daemon/sidecar_loop.h"
 #include "instance_pages.h"
-#include "sidecar_status.h"
+#include "sidecar_health.h"
 #include "stop_signal.h"
 
 namespace cowslip::daemon {
@@ -111,19 +111,16 @@
   auto announcer = Announcer::Create(settings, reason);
   if (!announcer) return false;
   ViewCell views;
-  // Outlives the threads that read it through the status.
-  std::unique_ptr<SidecarLoop> loop;
-  SidecarStatus status;
-  const auto noticed = [&status] { return status.noticed_ticket(); };
-  const auto control = ControlThread::Start(settings, views, noticed, reason);
+  const auto control = ControlThread::Start(settings, views, reason);
   if (control == nullptr) return false;
   telemetry::Metrics metrics;
   metrics.Add(std::make_shared<ControlMetrics>(control->stats()));
+  SidecarHealth health;
   BurnBoard board(settings.objectives);
   auto pages = MakeInstancePages(settings, *control, metrics);
   board.AddPages(settings.instance, pages);
-  pages.health = [&status, instance = pages.health] {
-    return status.Judge(instance());
+  pages.health = [&health, instance = pages.health] {
+    return health.Judge(instance());
   };
   // The face comes before the claim, which may take as long as an outage.
   auto face = HttpFace::Start(settings.http, pages, reason);
@@ -131,11 +128,12 @@
   const auto claimed = ClaimUntilStopped(*announcer, stop);
   if (!claimed) return true;
   MembershipThread members(std::move(*announcer));
-  loop = SidecarLoop::Create(settings, *claimed, views, members, reason);
+  const auto loop =
+      SidecarLoop::Create(settings, *claimed, views, members, reason);
   if (loop == nullptr) return false;
   metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(
       std::vector<const SidecarLoop*>{loop.get()}));
-  status.SetLoop(loop.get());
+  health.SetLoop(loop.get());
   Log(Level::kInfo, "sidecar_started",
       {{"incarnation", Raw(claimed->incarnation)},
        {"frames", ToString(settings.sidecar->frames)}});
--- a/packages/daemon/src/sidecar_loop.cc
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -183,7 +183,7 @@
   }
   send_.Flush();
   for (const auto& fetch : effects_.fetches) {
-    noticed_ = std::max(noticed_.load(), Raw(fetch.number));
+    views_.NoteTicket(fetch.number);
   }
   PostRequests();
   effects_.Clear();
