--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -149,12 +149,18 @@
                  options_.upstream_arguments.end());
   Run(upstream, command);
   upstreams_.push_back(upstream);
-  const auto name = "sidecar-" + text;
+  StartSidecar("sidecar-" + text, service, id, id);
+}
+
+void Deployment::StartSidecar(const std::string& name,
+                              const ServiceOptions& service, int id,
+                              int place) {
   WriteDaemonSettings(
-      name, site_.SidecarHttp(id), site_.SidecarControl(id),
-      "sidecar: {id: " + text + ", service: " + std::to_string(service.id) +
-          ", frames: " + site_.SidecarFrames(id) +
-          ", upstream: " + site_.Upstream(id) + ", slots: " + slots + "}\n");
+      name, site_.SidecarHttp(place), site_.SidecarControl(place),
+      "sidecar: {id: " + std::to_string(id) +
+          ", service: " + std::to_string(service.id) + ", frames: " +
+          site_.SidecarFrames(place) + ", upstream: " + site_.Upstream(id) +
+          ", slots: " + std::to_string(options_.slots) + "}\n");
   Run(name, {Program("cowslipd"), "sidecar", "--settings",
              directory_.File(name + ".yaml")});
 }
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -56,6 +56,11 @@
   void StartBalancer(int id);
   /// Starts an upstream and its sidecar.
   void StartUpstream(const ServiceOptions& service, int number);
+  /// Starts a sidecar beside the upstream with this id.
+  /// @param place number of its own addresses; differs from the id for a
+  /// second process with the same id.
+  void StartSidecar(const std::string& name, const ServiceOptions& service,
+                    int id, int place);
 
   // Control faces.
   /// @param query such as "loss=0.05&reorder_ms=200".
