--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 #include <fstream>
 #include <iostream>
+#include <thread>
 
 #include "standins/caller/coap_client.h"
 #include "standins/caller/datagram_caller.h"
@@ -27,6 +28,7 @@
 Options:
   --seconds N      Duration of the observation.
   --count N        Number of datagrams.
+  --interval-ms N  Pause after each datagram [default: 0].
   --out FILE       Receives the notifications instead of the standard output.
   --timeout-s N    Limit of one exchange [default: 30].
   --local ADDRESS  Address and port to send from.
@@ -127,6 +129,7 @@
     const bool has_answer = caller->Exchange(arguments.Text("TEXT"), number,
                                              Timeout(arguments), std::cout);
     if (has_answer) ++answered;
+    std::this_thread::sleep_for(arguments.Milliseconds("--interval-ms"));
   }
   std::cout << "sent=" << count << " answered=" << answered << std::endl;
   return answered == count ? ExitCode::kAnswered : ExitCode::kTimeout;
--- a/tests/process/caller.h
+++ b/tests/process/caller.h
@@ -23,6 +23,7 @@
 
   /// Waits for the end.
   CallerResult Finish(std::chrono::milliseconds limit);
+  bool IsRunning() { return process_->IsRunning(); }
   /// @return what it has printed so far.
   std::string Output() const;
 
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -178,10 +178,11 @@
 }
 
 int Deployment::SubmitTicket(int number,
-                             const std::vector<ServiceOptions>& services) {
+                             const std::vector<ServiceOptions>& services,
+                             const std::vector<int>& removed) {
   const auto file =
       directory_.File("ticket-" + std::to_string(number) + ".yaml");
-  WriteFile(file, TicketText(site_, number, services));
+  WriteFile(file, TicketText(site_, number, services, removed));
   return RunCtl({"ticket", "submit", file});
 }
 
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -69,7 +69,9 @@
 
   // Tickets.
   /// @return the exit code of cowslipctl.
-  int SubmitTicket(int number, const std::vector<ServiceOptions>& services);
+  /// @param removed ids of services.
+  int SubmitTicket(int number, const std::vector<ServiceOptions>& services,
+                   const std::vector<int>& removed = {});
   int RunCtl(std::vector<std::string> arguments);
   /// @return the ticket in force at a balancer or sidecar, -1 if it does not
   /// answer.
--- a/tests/process/deployment_options.h
+++ b/tests/process/deployment_options.h
@@ -9,12 +9,16 @@
 /// One service of a ticket.
 struct ServiceOptions {
   int id = 1;
+  /// Empty for "service-ID".
+  std::string name{};
   /// Number of the VIP of the site.
   int vip = 1;
   std::string protocol = "coap";
   std::string prefer = "continuity";
   std::string idle_timeout = "60s";
   std::string request_timeout = "20s";
+  int max_flows = 2000;
+  int max_queue = 16;
 };
 
 /// Shape of a deployment.
--- a/tests/process/settings_text.cc
+++ b/tests/process/settings_text.cc
@@ -29,17 +29,26 @@
 }
 
 std::string TicketText(const Site& site, int number,
-                       const std::vector<ServiceOptions>& services) {
+                       const std::vector<ServiceOptions>& services,
+                       const std::vector<int>& removed) {
   std::ostringstream text;
-  text << "ticket: " << number << "\nauthor: quispe\nservices:\n";
+  text << "ticket: " << number << "\nauthor: quispe\n";
+  if (!services.empty()) text << "services:\n";
   for (const auto& service : services) {
-    text << "  - {id: " << service.id << ", name: service-" << service.id
-         << ", address: \"" << site.Vip(service.vip)
-         << "\", protocol: " << service.protocol
+    const auto name = service.name.empty()
+                          ? "service-" + std::to_string(service.id)
+                          : service.name;
+    text << "  - {id: " << service.id << ", name: " << name << ", address: \""
+         << site.Vip(service.vip) << "\", protocol: " << service.protocol
          << ", prefer: " << service.prefer
          << ", idle_timeout: " << service.idle_timeout
-         << ", request_timeout: " << service.request_timeout << "}\n";
+         << ", request_timeout: " << service.request_timeout
+         << ", max_flows: " << service.max_flows
+         << ", max_queue: " << service.max_queue << "}\n";
   }
+  text << "removed: [";
+  for (const int id : removed) text << "{id: " << id << "}, ";
+  text << "]\n";
   return text.str();
 }
 
--- a/tests/process/settings_text.h
+++ b/tests/process/settings_text.h
@@ -15,6 +15,7 @@
                                const std::string& control,
                                const std::string& drain_timeout);
 std::string TicketText(const Site& site, int number,
-                       const std::vector<ServiceOptions>& services);
+                       const std::vector<ServiceOptions>& services,
+                       const std::vector<int>& removed);
 
 }  // namespace cowslip::testing
