--- a/packages/engine/include/cowslip/engine/counters.h
+++ b/packages/engine/include/cowslip/engine/counters.h
@@ -35,6 +35,14 @@
   kRepliesRetried,
   kHandoversSent,
   kHandoversTaken,
+  kRepliesNotKept,
+  kRequestsPassedOn,
+  kRequestsShed,
+  kRequestsRefused,
+  kRequestsRetried,
+  kRequestsOverdue,
+  kTransfersRestarted,
+  kUpstreamRefusals,
   kCount,
 };
 
