Process tests: isolation, answers, at most once, drain

The stand-in caller takes a single block of a larger body for no answer: seen without the product too (fabric straight to an upstream, 5% loss, 5% duplicates, a tenth reordered by 200 ms), unmodified libcoap 4.3.1 hands a late duplicate block to the application. Its ACK_TIMEOUT can't be set below 1 s.

--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -60,6 +60,16 @@
   return text;
 }
 
+/// @return whether a message is one block of a larger body, which libcoap hands
+/// on when it comes again after its own transfer has moved on.
+bool IsLoneBlock(const coap_pdu_t* message) {
+  coap_block_t block;
+  if (coap_get_block(message, COAP_OPTION_BLOCK2, &block) == 0) return false;
+  const std::size_t block_bytes = std::size_t{1} << (block.szx + 4U);
+  const bool is_part = block.num > 0 || block.m != 0;
+  return is_part && Payload(message).size() <= block_bytes;
+}
+
 CoapResponse ToResponse(const coap_pdu_t* message) {
   constexpr unsigned kFirstErrorClass = 4;
   const auto code = coap_pdu_get_code(message);
@@ -171,7 +181,7 @@
       coap_get_app_data(coap_session_get_context(session)));
   // libcoap repeats a challenged request by itself, once, and passes only a
   // later challenge on.
-  if (client.on_response_) {
+  if (client.on_response_ && !IsLoneBlock(received)) {
     client.receiving_ = client.on_response_(ToResponse(received));
   }
   return COAP_RESPONSE_OK;
--- a/standins/caller/datagram_caller.cc
+++ b/standins/caller/datagram_caller.cc
@@ -27,7 +27,10 @@
   const auto time = std::chrono::duration_cast<std::chrono::microseconds>(
       Clock::now() - start);
   if (answer) {
-    out << "answer=\"" << *answer << "\" time_us=" << time.count() << std::endl;
+    const auto sent = std::chrono::duration_cast<std::chrono::milliseconds>(
+        start.time_since_epoch());
+    out << "answer=\"" << *answer << "\" time_us=" << time.count()
+        << " sent_ms=" << sent.count() << std::endl;
   } else {
     out << "timeout=\"" << payload << "\"" << std::endl;
   }
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -32,7 +32,8 @@
   --out FILE       Receives the notifications instead of the standard output.
   --timeout-s N    Limit of one exchange [default: 30].
   --local ADDRESS  Address and port to send from.
-  --ack-timeout-ms N  Time before the first retransmission [default: 2000].
+  --ack-timeout-ms N  Time before the first retransmission, 1000 or more
+                      [default: 2000].
 
 PATH may have a query, as in /feed?name.
 
--- /dev/null
+++ b/tests/process/answers_test.cc
@@ -0,0 +1,145 @@
+#define BOOST_TEST_MODULE answers
+#include <xxhash.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <thread>
+
+#include "standins/upstream/documents.h"
+#include "tests/process/deployment.h"
+
+namespace cowslip::testing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds kCallerLimit{110};
+constexpr int kFetches = 4;
+
+DeploymentOptions Options(std::uint64_t seed) {
+  DeploymentOptions options;
+  options.seed = seed;
+  return options;
+}
+
+/// @return the digest that standin-caller prints of a document.
+std::string DigestOf(const std::string& path, const std::string& version) {
+  standin::Documents documents;
+  documents.SetVersion(version);
+  const auto document = documents.Get(path);
+  std::array<char, 17> text;
+  const unsigned long long digest =
+      XXH3_64bits(document->body.data(), document->body.size());
+  std::snprintf(text.data(), text.size(), "%016llx", digest);
+  return text.data();
+}
+
+/// Downloads of 1 MB, another document for each caller.
+class Fetches {
+ public:
+  explicit Fetches(Deployment& deployment) {
+    for (int i = 0; i < kFetches; ++i) {
+      callers_.push_back(deployment.StartCaller(
+          {"fetch", deployment.Vip(1), "/" + PathOf(i), "--timeout-s", "100",
+           "--ack-timeout-ms", "1000"}));
+    }
+  }
+
+  /// Checks that each caller got one of these versions of its document, whole.
+  void Check(const std::vector<std::string>& versions) {
+    for (int i = 0; i < kFetches; ++i) {
+      const auto result = callers_[i].Finish(kCallerLimit);
+      const auto digest = FieldOf(result.output, "xxh3");
+      const bool whole =
+          std::ranges::any_of(versions, [&](const auto& version) {
+            return digest == DigestOf(PathOf(i), version);
+          });
+      BOOST_TEST(whole, "caller " << i << " got " << result.output);
+    }
+  }
+
+ private:
+  static std::string PathOf(int i) {
+    return "dossier?caller-" + std::to_string(i);
+  }
+
+  std::vector<Caller> callers_;
+};
+
+BOOST_AUTO_TEST_CASE(ShortAnswers) {
+  constexpr int kCallers = 40;
+  Deployment deployment(Options(41));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults("loss=0.05&duplicate=0.05&reorder_ms=200");
+  std::vector<Caller> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(deployment.StartCaller(
+        {"get", deployment.Vip(1), "/info?caller-" + std::to_string(i)}));
+  }
+  for (int i = 0; i < kCallers; ++i) {
+    const auto result = callers[i].Finish(kCallerLimit);
+    const auto payload = FieldOf(result.output, "payload");
+    BOOST_TEST(payload.ends_with(" caller-" + std::to_string(i)),
+               "caller " << i << " got " << result.output);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LargeAnswers) {
+  Deployment deployment(Options(42));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults(
+      "loss=0.05&duplicate=0.05&reorder_ms=200&reorder_share=0.1");
+  Fetches fetches(deployment);
+  fetches.Check({"1"});
+}
+
+BOOST_AUTO_TEST_CASE(VersionChangesInTheMiddle) {
+  Deployment deployment(Options(43));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults("loss=0.01&duplicate=0.05&delay_ms=2");
+  Fetches fetches(deployment);
+  std::this_thread::sleep_for(seconds(1));
+  for (const int id : {11, 12}) {
+    const auto put = deployment.RunCaller(
+        {"put", deployment.site().Upstream(id), "/version", "2"});
+    BOOST_TEST(put.exit_code == 0, put.output);
+  }
+  fetches.Check({"1", "2"});
+}
+
+/// The upstream that leaves has another version than the one that stays.
+BOOST_AUTO_TEST_CASE(UpstreamLeavesInTheMiddle) {
+  auto options = Options(44);
+  options.drain_timeout = "2s";
+  Deployment deployment(options);
+  BOOST_REQUIRE(deployment.Start());
+  BOOST_TEST(
+      deployment
+          .RunCaller({"put", deployment.site().Upstream(12), "/version", "2"})
+          .exit_code == 0);
+  deployment.SetFabricFaults("loss=0.01&duplicate=0.05&delay_ms=2");
+  Fetches fetches(deployment);
+  std::this_thread::sleep_for(seconds(1));
+  deployment.Terminate("sidecar-11");
+  BOOST_TEST((deployment.Process("sidecar-11").WaitForExit(kEventually) == 0));
+  deployment.Terminate("upstream-11");
+  fetches.Check({"1", "2"});
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamDiesInTheMiddle) {
+  Deployment deployment(Options(45));
+  BOOST_REQUIRE(deployment.Start());
+  BOOST_TEST(
+      deployment
+          .RunCaller({"put", deployment.site().Upstream(12), "/version", "2"})
+          .exit_code == 0);
+  deployment.SetFabricFaults("loss=0.01&duplicate=0.05&delay_ms=2");
+  Fetches fetches(deployment);
+  std::this_thread::sleep_for(seconds(1));
+  deployment.Kill("sidecar-11");
+  deployment.Kill("upstream-11");
+  fetches.Check({"1", "2"});
+}
+
+}  // namespace
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/at_most_once_test.cc
@@ -0,0 +1,128 @@
+#define BOOST_TEST_MODULE at_most_once
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "tests/process/post_callers.h"
+
+namespace cowslip::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kCallers = 20;
+
+DeploymentOptions Options(std::uint64_t seed, const char* service_ms) {
+  DeploymentOptions options;
+  options.seed = seed;
+  options.slots = 40;
+  options.services = {{.request_timeout = "8s"}};
+  options.upstream_arguments = {"--service-ms", service_ms};
+  return options;
+}
+
+void Check(PostCallers& posts) {
+  for (const auto& fault : posts.Faults()) BOOST_ERROR(fault);
+}
+
+BOOST_AUTO_TEST_CASE(DuplicatesAndRetransmissions) {
+  Deployment deployment(Options(21, "200"));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults("loss=0.1&duplicate=0.5&reorder_ms=200");
+  PostCallers posts(deployment, 1, "duplicated", 2 * kCallers);
+  Check(posts);
+  BOOST_TEST(posts.done() > kCallers);
+}
+
+/// One balancer knows a former set of upstreams, another one the present set.
+BOOST_AUTO_TEST_CASE(BalancersWithDifferentViews) {
+  Deployment deployment(Options(22, "200"));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetCutFromStore("balancer-1", true);
+  deployment.SetCutFromStore("sidecar-12", true);
+  deployment.StartUpstream({.request_timeout = "8s"}, 3);
+  deployment.Terminate("sidecar-11");
+  deployment.SetFabricFaults("duplicate=0.5&reorder_ms=50");
+  PostCallers posts(deployment, 1, "views", 2 * kCallers);
+  Check(posts);
+  BOOST_TEST(posts.done() > 0);
+}
+
+/// Posts while something happens to the owner 11, sooner and sooner in the
+/// life of a request.
+template <typename Event>
+void PostAround(Deployment& deployment, const std::string& name, Event event) {
+  PostCallers during(deployment, 1, name + "-during", kCallers);
+  std::this_thread::sleep_for(milliseconds(300));
+  event();
+  PostCallers after(deployment, 1, name + "-after", kCallers);
+  Check(during);
+  Check(after);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerKilledBeforeTheRun) {
+  Deployment deployment(Options(23, "200"));
+  BOOST_REQUIRE(deployment.Start());
+  // Most requests are between their first datagram and their run.
+  deployment.SetFabricFaults("delay_ms=150");
+  PostCallers posts(deployment, 1, "before", kCallers);
+  std::this_thread::sleep_for(milliseconds(250));
+  deployment.Kill("sidecar-11");
+  Check(posts);
+}
+
+BOOST_AUTO_TEST_CASE(OwnerKilledDuringTheRun) {
+  Deployment deployment(Options(24, "2000"));
+  BOOST_REQUIRE(deployment.Start());
+  PostAround(deployment, "killed", [&] { deployment.Kill("sidecar-11"); });
+}
+
+BOOST_AUTO_TEST_CASE(OwnerKilledAfterTheRun) {
+  Deployment deployment(Options(25, "50"));
+  BOOST_REQUIRE(deployment.Start());
+  // The answers of runs are on their way, and most are lost.
+  deployment.SetFabricFaults("delay_ms=200");
+  PostCallers posts(deployment, 1, "after", kCallers);
+  BOOST_TEST(Eventually([&] { return deployment.Journal().size() >= 10; }));
+  deployment.SetFabricFaults("loss=0.9&delay_ms=0");
+  deployment.Kill("sidecar-11");
+  std::this_thread::sleep_for(milliseconds(500));
+  deployment.SetFabricFaults("loss=0");
+  Check(posts);
+}
+
+BOOST_AUTO_TEST_CASE(UpstreamKilled) {
+  Deployment deployment(Options(26, "2000"));
+  BOOST_REQUIRE(deployment.Start());
+  PostAround(deployment, "upstream", [&] {
+    deployment.Kill("upstream-11");
+    deployment.Restart("upstream-11");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(SidecarRestartedWithTheSameId) {
+  Deployment deployment(Options(27, "2000"));
+  BOOST_REQUIRE(deployment.Start());
+  PostAround(deployment, "restarted", [&] {
+    deployment.Kill("sidecar-11");
+    deployment.Restart("sidecar-11");
+  });
+}
+
+BOOST_AUTO_TEST_CASE(PausedSidecarWakesUp) {
+  Deployment deployment(Options(28, "1000"));
+  BOOST_REQUIRE(deployment.Start());
+  for (const int pause : {1, 3, 8}) {
+    const auto name = "paused" + std::to_string(pause);
+    PostAround(deployment, name, [&] {
+      deployment.Stop("sidecar-11");
+      PostCallers meanwhile(deployment, 1, name + "-meanwhile", kCallers);
+      std::this_thread::sleep_for(seconds(pause));
+      deployment.Continue("sidecar-11");
+      Check(meanwhile);
+    });
+  }
+}
+
+}  // namespace
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/drain_test.cc
@@ -0,0 +1,129 @@
+#define BOOST_TEST_MODULE drain
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "tests/process/feed_callers.h"
+#include "tests/process/post_callers.h"
+
+namespace cowslip::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time after which a leaving upstream gets nothing new.
+constexpr seconds kNothingNewAfter{3};
+constexpr int kCallers = 20;
+
+DeploymentOptions Options(std::uint64_t seed, const char* service_ms) {
+  DeploymentOptions options;
+  options.seed = seed;
+  options.slots = 40;
+  options.upstream_arguments = {"--service-ms", service_ms};
+  return options;
+}
+
+std::vector<std::string> UpstreamsOfNewGets(Deployment& deployment) {
+  std::vector<Caller> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(
+        deployment.StartCaller({"get", deployment.Vip(1), "/info"}));
+  }
+  std::vector<std::string> upstreams;
+  for (auto& caller : callers) {
+    const auto result = caller.Finish(seconds(60));
+    BOOST_TEST(result.exit_code == 0, result.output);
+    const auto payload = FieldOf(result.output, "payload");
+    upstreams.push_back(payload.substr(0, payload.find(' ')));
+  }
+  return upstreams;
+}
+
+/// Nothing new at a leaving upstream that still has open feeds, although one
+/// balancer and one sidecar have not heard.
+BOOST_AUTO_TEST_CASE(LeavingUpstreamGetsNothingNew) {
+  Deployment deployment(Options(31, "0"));
+  BOOST_REQUIRE(deployment.Start());
+  FeedCallers feeds(deployment, 1, kCallers);
+  BOOST_REQUIRE(feeds.WaitForFresh().empty());
+  deployment.SetCutFromStore("balancer-1", true);
+  deployment.SetCutFromStore("sidecar-12", true);
+  deployment.Terminate("sidecar-11");
+  std::this_thread::sleep_for(kNothingNewAfter);
+
+  for (const auto& upstream : UpstreamsOfNewGets(deployment)) {
+    BOOST_TEST(upstream == "upstream-12");
+  }
+  PostCallers posts(deployment, 1, "late", kCallers);
+  for (const auto& fault : posts.Faults()) BOOST_ERROR(fault);
+  BOOST_TEST(posts.done() > 0);
+  for (const auto& entry : deployment.Journal()) {
+    BOOST_TEST(entry.upstream == "upstream-12", entry.claim);
+  }
+}
+
+struct Work {
+  explicit Work(Deployment& deployment)
+      : posts(deployment, 1, "work", kCallers) {
+    for (int i = 0; i < 4; ++i) {
+      const auto path = "/dossier?caller-" + std::to_string(i);
+      fetches.push_back(
+          deployment.StartCaller({"fetch", deployment.Vip(1), path}));
+    }
+    std::this_thread::sleep_for(milliseconds(500));
+  }
+
+  void CheckWhole() {
+    for (const auto& fault : posts.Faults()) BOOST_ERROR(fault);
+    BOOST_TEST(posts.done() == kCallers);
+    for (auto& fetch : fetches) {
+      const auto result = fetch.Finish(seconds(60));
+      BOOST_TEST(FieldOf(result.output, "size") == "1048576", result.output);
+    }
+  }
+
+  PostCallers posts;
+  std::vector<Caller> fetches;
+};
+
+/// SIGTERM in the middle of requests cuts none and ends in bounded time.
+void TerminateDuringWork(const std::string& name, std::uint64_t seed) {
+  constexpr seconds kEndLimit{30};
+  Deployment deployment(Options(seed, "2000"));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults("delay_ms=1");
+  Work work(deployment);
+  deployment.Terminate(name);
+  if (name.starts_with("balancer")) {
+    std::this_thread::sleep_for(seconds(1));
+    deployment.SetSprayed(std::stoi(name.substr(9)), false);
+  }
+  work.CheckWhole();
+  const auto code = deployment.Process(name).WaitForExit(kEndLimit);
+  BOOST_TEST((code == 0), name << " ended with " << code.value_or(-1));
+}
+
+BOOST_AUTO_TEST_CASE(BalancerTerminated) {
+  TerminateDuringWork("balancer-2", 32);
+}
+BOOST_AUTO_TEST_CASE(SidecarTerminated) {
+  TerminateDuringWork("sidecar-11", 33);
+}
+
+/// Both at the same moment, the sidecar before the upstream that it fronts.
+BOOST_AUTO_TEST_CASE(SidecarTerminatedWhileBalancerLeaves) {
+  Deployment deployment(Options(34, "2000"));
+  BOOST_REQUIRE(deployment.Start());
+  deployment.SetFabricFaults("delay_ms=1");
+  Work work(deployment);
+  deployment.Terminate("balancer-3");
+  deployment.Terminate("sidecar-12");
+  std::this_thread::sleep_for(seconds(1));
+  deployment.SetSprayed(3, false);
+  work.CheckWhole();
+  BOOST_TEST((deployment.Process("balancer-3").WaitForExit(seconds(30)) == 0));
+  BOOST_TEST((deployment.Process("sidecar-12").WaitForExit(seconds(30)) == 0));
+}
+
+}  // namespace
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/isolation_test.cc
@@ -0,0 +1,184 @@
+#define BOOST_TEST_MODULE isolation
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+#include <thread>
+
+#include "tests/process/deployment.h"
+
+namespace cowslip::testing {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr int kCallers = 8;
+/// Time in which an accepted ticket comes into force everywhere, also where the
+/// store can't be reached.
+constexpr seconds kInForce{4};
+
+/// A datagram service or a feed service.
+ServiceOptions Service(int id, int vip, const std::string& protocol) {
+  return {.id = id, .vip = vip, .protocol = protocol};
+}
+
+DeploymentOptions Options(std::uint64_t seed, const std::string& protocol) {
+  DeploymentOptions options;
+  options.seed = seed;
+  options.services = {Service(1, 1, protocol), Service(2, 2, protocol)};
+  return options;
+}
+
+std::chrono::milliseconds Now() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now().time_since_epoch());
+}
+
+/// Which service an address belongs to.
+struct Change {
+  char before;
+  char after;
+  std::chrono::milliseconds begun{};
+  std::chrono::milliseconds ended{};
+
+  /// @return the services that may answer what was sent at a time.
+  std::string WantedAt(std::chrono::milliseconds time) const {
+    if (time < begun) return {before};
+    if (time >= ended) return {after};
+    return {before, after};
+  }
+};
+
+struct Answer {
+  std::chrono::milliseconds sent{};
+  char service = 0;
+};
+
+/// @return the answers of a caller, or its notifications, with the service that
+/// the upstream's name has.
+std::vector<Answer> AnswersTo(const Caller& caller) {
+  constexpr std::string_view kName = "upstream-";
+  std::vector<Answer> answers;
+  std::istringstream lines(caller.Output());
+  for (std::string line; std::getline(lines, line);) {
+    const auto found = line.find(kName);
+    if (found == std::string::npos) continue;
+    const auto datagram = FieldOf(line, "sent_ms");
+    const auto time = datagram.empty() ? FieldOf(line, "time_ms") : datagram;
+    if (time.empty()) continue;
+    answers.push_back({std::chrono::milliseconds(std::stoll(time)),
+                       line[found + kName.size()]});
+  }
+  return answers;
+}
+
+/// Callers of one VIP, each with one flow, that go on until they are dropped.
+class Flows {
+ public:
+  Flows(Deployment& deployment, int vip, const std::string& protocol) {
+    for (int i = 0; i < kCallers; ++i) {
+      callers_.push_back(
+          protocol == "coap"
+              ? deployment.StartCaller({"observe", deployment.Vip(vip), "/feed",
+                                        "--seconds", "600"})
+              : deployment.StartCaller(
+                    {"datagram", deployment.Vip(vip), "hello", "--count",
+                     "100000", "--timeout-s", "1", "--interval-ms", "20"}));
+    }
+  }
+
+  int Answered() const {
+    return static_cast<int>(std::ranges::count_if(
+        callers_, [](const auto& c) { return !AnswersTo(c).empty(); }));
+  }
+
+  /// Checks who answered what was sent until `changing` and from `changed` on.
+  void Check(const std::string& name, const Change& change) const {
+    for (const auto& caller : callers_) {
+      for (const auto& answer : AnswersTo(caller)) {
+        const auto wanted = change.WantedAt(answer.sent);
+        if (wanted.find(answer.service) != std::string::npos) continue;
+        BOOST_ERROR(name << ": service " << answer.service << " answered "
+                         << (answer.sent - change.ended).count()
+                         << " ms after the change");
+        break;
+      }
+    }
+  }
+
+ private:
+  std::vector<Caller> callers_;
+};
+
+/// Addresses of two services are swapped while some
+/// balancers and sidecars can't reach the store.
+void SwapAddresses(const std::string& protocol, std::uint64_t seed) {
+  Deployment deployment(Options(seed, protocol));
+  BOOST_REQUIRE(deployment.Start());
+  const std::vector<std::string> cut{"balancer-1", "sidecar-11", "sidecar-22"};
+  const std::vector<std::string> rest{"balancer-2", "balancer-3", "sidecar-12",
+                                      "sidecar-21"};
+  const Flows before1(deployment, 1, protocol);
+  const Flows before2(deployment, 2, protocol);
+  BOOST_TEST(Eventually([&] {
+    return before1.Answered() == kCallers && before2.Answered() == kCallers;
+  }));
+  for (const auto& name : cut) deployment.SetCutFromStore(name, true);
+  Change change1{'1', '2', Now()};
+  BOOST_TEST(deployment.SubmitTicket(
+                 2, {Service(1, 2, protocol), Service(2, 1, protocol)}) == 0);
+  const Flows during1(deployment, 1, protocol);
+  const Flows during2(deployment, 2, protocol);
+  BOOST_TEST(deployment.WaitForTicket(2, rest));
+  std::this_thread::sleep_for(kInForce);
+  change1.ended = Now();
+  Change change2{'2', '1', change1.begun, change1.ended};
+  const Flows after1(deployment, 1, protocol);
+  const Flows after2(deployment, 2, protocol);
+  std::this_thread::sleep_for(kInForce);
+  for (const auto& name : cut) deployment.SetCutFromStore(name, false);
+  BOOST_TEST(deployment.WaitForTicket(2, cut));
+  BOOST_TEST(Eventually([&] {
+    return after1.Answered() == kCallers && after2.Answered() == kCallers;
+  }));
+  std::this_thread::sleep_for(kInForce);
+
+  before1.Check("flow of address 1 begun before", change1);
+  before2.Check("flow of address 2 begun before", change2);
+  during1.Check("flow of address 1 begun during the change", change1);
+  during2.Check("flow of address 2 begun during the change", change2);
+  after1.Check("flow of address 1 begun after", change1);
+  after2.Check("flow of address 2 begun after", change2);
+}
+
+BOOST_AUTO_TEST_CASE(DatagramServicesSwapAddresses) {
+  SwapAddresses("datagram", 51);
+}
+BOOST_AUTO_TEST_CASE(CoapServicesSwapAddresses) { SwapAddresses("coap", 52); }
+
+/// A service is removed and its address given to a new one, while a stopped
+/// balancer and a stopped sidecar hold the old ticket.
+BOOST_AUTO_TEST_CASE(AddressIsReusedWhileSomeAreStopped) {
+  Deployment deployment(Options(53, "datagram"));
+  BOOST_REQUIRE(deployment.Start());
+  const Flows before(deployment, 2, "datagram");
+  BOOST_TEST(Eventually([&] { return before.Answered() == kCallers; }));
+  deployment.Stop("balancer-1");
+  deployment.Stop("sidecar-21");
+  const auto reused = Service(3, 2, "datagram");
+  Change change{'2', '3', Now()};
+  BOOST_TEST(deployment.SubmitTicket(2, {reused}, {2}) == 0);
+  deployment.StartUpstream(reused, 1);
+  BOOST_TEST(deployment.WaitForTicket(
+      2, {"balancer-2", "balancer-3", "sidecar-22", "sidecar-31"}));
+  change.ended = Now();
+  const Flows after(deployment, 2, "datagram");
+  std::this_thread::sleep_for(seconds(1));
+  deployment.Continue("balancer-1");
+  deployment.Continue("sidecar-21");
+  std::this_thread::sleep_for(kInForce);
+  BOOST_TEST(Eventually([&] { return after.Answered() == kCallers; }));
+  before.Check("flow of the removed service", change);
+  after.Check("flow of the new service", change);
+}
+
+}  // namespace
+}  // namespace cowslip::testing
--- /dev/null
+++ b/tests/process/post_callers.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "tests/process/deployment.h"
+
+namespace cowslip::testing {
+
+/// Callers that each post one claim of its own, all at once.
+class PostCallers {
+ public:
+  /// @param prefix of the claims, different in each batch of a deployment.
+  PostCallers(Deployment& deployment, int vip, const std::string& prefix,
+              int count);
+
+  /// Waits for all answers, and for runs that may still come.
+  /// @return a line for each broken promise: a claim that ran twice, "not run"
+  /// told of a claim that ran, "done" told of one that did not, or any other
+  /// answer than "done", "not run" and "outcome unknown".
+  std::vector<std::string> Faults();
+
+  int done() const { return done_; }
+  int not_run() const { return not_run_; }
+  int outcome_unknown() const { return outcome_unknown_; }
+  int timeouts() const { return timeouts_; }
+
+ private:
+  struct Post {
+    std::string claim;
+    Caller caller;
+  };
+
+  std::string FaultOf(const std::string& claim, const CallerResult& result,
+                      int runs);
+
+  Deployment& deployment_;
+  std::vector<Post> posts_;
+  int done_ = 0;
+  int not_run_ = 0;
+  int outcome_unknown_ = 0;
+  int timeouts_ = 0;
+};
+
+}  // namespace cowslip::testing
