--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -1,3 +1,5 @@
+#include <utility>
+
 #include "coap_peek.h"
 #include "cowslip/engine/sidecar.h"
 
@@ -23,22 +25,24 @@
       flows_(std::move(flows)),
       redirects_(options.redirect_capacity, std::chrono::minutes(4)),
       admission_({options.slots, 0, options.slow_start}, options.started),
+      contacts_(options.silence),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
       requests_(options.request_capacity),
       counters_(std::make_unique<Counters>()),
-      replies_(*counters_) {}
+      replies_(*counters_),
+      observations_(options.observation_capacity) {}
 
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
   now_ = now;
-  view_ = std::move(view);
-  const auto* before = service_;
-  service_ = view_->Find(options_.service);
+  const auto old_view = std::exchange(view_, std::move(view));
+  const auto* before = std::exchange(service_, view_->Find(options_.service));
   if (service_ == nullptr) return;
   const auto& service = service_->service;
   const bool balance = service.prefer == ticket::Preference::kBalance;
   admission_.SetQueue(service.max_queue, balance ? 0 : options_.slots);
+  ForgetRestarted(before);
   redirects_.SetLifetime(2 * IdleTimeout() + IdleTimeout() / 2);
   if (before == nullptr) return;
   // Flows that used an address which the service no longer has can't go on.
@@ -48,6 +52,17 @@
   }
 }
 
+/// A new incarnation is not judged by the silence of the one before.
+void Sidecar::ForgetRestarted(const membership::ServiceView* before) {
+  if (before == nullptr) return;
+  for (const auto& old : before->upstreams) {
+    const auto* present = service_->Find(old.id);
+    if (present == nullptr || present->incarnation != old.incarnation) {
+      contacts_.Remove(old.id);
+    }
+  }
+}
+
 Duration Sidecar::IdleTimeout() const { return service_->service.idle_timeout; }
 
 std::span<const Upstream* const> Sidecar::RankedFor(const FlowKey& key) {
@@ -93,6 +108,7 @@
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
   now_ = now;
+  from_ = from;
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
@@ -102,9 +118,11 @@
       OnCallerData(frame, from, now, effects);
       return;
     case FrameKind::kRedirect:
-      if (header.service != options_.service) return;
-      redirects_.Learn(header.flow, UpstreamId(header.sender),
-                       header.incarnation, now);
+      contacts_.OnHeard(UpstreamId(header.sender));
+      OnRedirect(frame, from, effects);
+      return;
+    case FrameKind::kProbeAck:
+      contacts_.OnHeard(UpstreamId(header.sender));
       return;
     case FrameKind::kProbe: {
       auto answer = MakeHeader(FrameKind::kProbeAck);
@@ -112,6 +130,13 @@
       effects.frames.push_back({from, answer, {}});
       return;
     }
+    case FrameKind::kHandover:
+      OnHandover(frame, from, effects);
+      return;
+    case FrameKind::kHandoverAck:
+      contacts_.OnHeard(UpstreamId(header.sender));
+      OnHandoverAck(frame, effects);
+      return;
     case FrameKind::kReplyAck:
       replies_.OnAck(header);
       return;
@@ -130,16 +155,26 @@
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
     LastReason<coap::CoapError> reason;
-    const auto message = coap::Parse(payload, reason);
+    auto message = coap::Parse(payload, reason);
     if (!message) {
       counters_->Add(Counter::kDropMalformed);
       return;
     }
-    matters = message->type == coap::Type::kCon;
-    if (message->IsResponse()) {
-      OnResponse(slot, *message, payload, now, effects);
+    std::optional<RunTable::Run> run;
+    const bool expected =
+        !message->IsResponse() || ExpectsResponse(slot, *message, now, run);
+    if (!expected || !TrackUpstreamMessage(slot, *message, effects)) return;
+    if (run) {
+      FinishRun(*run, *message, now, effects);
       return;
     }
+    matters = message->type == coap::Type::kCon ||
+              message->Find(coap::OptionNumber::kObserve) != nullptr;
+    if (observations_.Has(slot)) {
+      auto bytes = coap::Encode(*message, reason);
+      if (!bytes) return;
+      payload = effects.scratch.Keep(std::move(*bytes));
+    }
   }
   SendReply(slot, payload, matters, effects);
 }
@@ -147,9 +182,13 @@
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
   now_ = now;
   replies_.Expire(now, effects);
+  ProbeSuspects(effects);
+  RepeatNotifications(effects);
+  HandOverFeeds(effects);
   if (service_ == nullptr) return;
   ExpireRuns(now, effects);
   ExpireRequests(now);
+  ExpireGuests(now, effects);
   ExpireFlows(now, effects);
   redirects_.Expire(now);
   permits_.Expire(now);
