--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -4,6 +4,7 @@
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <thread>
 
 #include "standins/caller/coap_client.h"
 #include "standins/caller/datagram_caller.h"
@@ -27,10 +28,12 @@
 Options:
   --seconds N      Duration of the observation.
   --count N        Number of datagrams.
+  --interval-ms N  Pause after each datagram [default: 0].
   --out FILE       Receives the notifications instead of the standard output.
   --timeout-s N    Limit of one exchange [default: 30].
   --local ADDRESS  Address and port to send from.
-  --ack-timeout-ms N  Time before the first retransmission [default: 2000].
+  --ack-timeout-ms N  Time before the first retransmission, 1000 or more
+                      [default: 2000].
 
 PATH may have a query, as in /feed?name.
 
@@ -127,6 +130,7 @@
     const bool has_answer = caller->Exchange(arguments.Text("TEXT"), number,
                                              Timeout(arguments), std::cout);
     if (has_answer) ++answered;
+    std::this_thread::sleep_for(arguments.Milliseconds("--interval-ms"));
   }
   std::cout << "sent=" << count << " answered=" << answered << std::endl;
   return answered == count ? ExitCode::kAnswered : ExitCode::kTimeout;
