--- a/packages/daemon/include/cowslip/daemon/balancer_loop.h
+++ b/packages/daemon/include/cowslip/daemon/balancer_loop.h
@@ -33,8 +33,6 @@
   const engine::Counters& counters() const { return balancer_.counters(); }
   /// @return datagrams dropped as foreign, forged, truncated or too old.
   std::uint64_t dropped() const { return dropped_; }
-  /// @return the highest ticket number seen on frames.
-  TicketNumber noticed_ticket() const { return TicketNumber(noticed_.load()); }
 
  private:
   struct Entry {
@@ -69,7 +67,6 @@
   std::atomic<bool> stopping_{false};
   std::atomic<bool> drain_requested_{false};
   std::atomic<std::uint64_t> dropped_{0};
-  std::atomic<std::uint64_t> noticed_{0};
 };
 
 }  // namespace cowslip::daemon
--- a/packages/engine/src/sidecar_feeds.cc
+++ b/packages/engine/src/sidecar_feeds.cc
@@ -88,7 +88,7 @@
 void Sidecar::OnHandover(const Frame& frame, const Endpoint& from,
                          SidecarEffects& effects) {
   const auto& header = frame.header;
-  if (!IsForThisService(header) || draining_) return;
+  if (!IsForThisService(header) || !AdmitsWork()) return;
   LastReason<coap::CoapError> reason;
   auto request = coap::Parse(frame.payload, reason);
   if (!request) return;
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -28,6 +28,7 @@
       contacts_(options.silence),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
+      members_(MakeRole(options)),
       counters_(std::make_unique<Counters>()),
       replies_(*counters_),
       observations_(options.observation_capacity) {}
@@ -37,6 +38,8 @@
   now_ = now;
   const auto old_view = std::exchange(view_, std::move(view));
   const auto* before = std::exchange(service_, view_->Find(options_.service));
+  members_.OnEvent(now);
+  members_.OnView(view_, options_.id, options_.service, now);
   if (service_ == nullptr) return;
   ForgetRestarted(before);
   redirects_.SetLifetime(2 * IdleTimeout() + IdleTimeout() / 2);
@@ -105,6 +108,7 @@
   const auto& header = frame.header;
   now_ = now;
   from_ = from;
+  members_.OnEvent(now);
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
@@ -117,15 +121,15 @@
       contacts_.OnHeard(UpstreamId(header.sender));
       OnRedirect(frame, from, effects);
       return;
+    case FrameKind::kProbe:
     case FrameKind::kProbeAck:
-      contacts_.OnHeard(UpstreamId(header.sender));
-      return;
-    case FrameKind::kProbe: {
-      auto answer = MakeHeader(FrameKind::kProbeAck);
-      answer.sequence = header.sequence;
-      effects.frames.push_back({from, answer, {}});
+    case FrameKind::kDeathQuery:
+    case FrameKind::kDeathAnswer:
+      if (header.kind == FrameKind::kProbeAck) {
+        contacts_.OnHeard(UpstreamId(header.sender));
+      }
+      OnMemberFrame(header, from, now, effects);
       return;
-    }
     case FrameKind::kHandover:
       OnHandover(frame, from, effects);
       return;
@@ -147,6 +151,8 @@
 void Sidecar::OnUpstreamDatagram(flow::FlowSlot slot, ByteView payload,
                                  TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
+  members_.upstream().OnAnswered(now);
   bool matters = false;
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
@@ -177,11 +183,14 @@
 
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
   replies_.Expire(now, effects);
   ProbeSuspects(effects);
   RepeatNotifications(effects);
   HandOverFeeds(effects);
   if (service_ == nullptr) return;
+  members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
+                  now, effects);
   ExpireRuns(now, effects);
   ExpireFlows(now, effects);
   redirects_.Expire(now);
--- a/packages/ticket/include/cowslip/ticket/ticket_state.h
+++ b/packages/ticket/include/cowslip/ticket/ticket_state.h
@@ -30,7 +30,11 @@
   static TicketState FromSnapshot(const Ticket& snapshot);
 
  private:
+  void Put(const Service& service);
+  bool Remove(ServiceId id);
+
   TicketNumber number_{};
+  std::size_t bytes_ = 0;  ///< Of the services, formatted.
   std::map<ServiceId, Service> services_;
 };
 
--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -53,7 +53,8 @@
   HttpRequest request;
   request.method = info->request_method;
   request.path = info->local_uri;
-  request.source = info->remote_addr;
+  const char* token = mg_get_header(connection, "X-Consul-Token");
+  request.source = token != nullptr ? token : info->remote_addr;
   if (info->query_string != nullptr) {
     ParseQuery(info->query_string, request.parameters);
   }
@@ -69,10 +70,7 @@
       "Content-Type: " + response.content_type + "\r\nConnection: close\r\n";
   text += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
   for (const auto& [name, value] : response.headers) {
-    text += name;
-    text += ": ";
-    text += value;
-    text += "\r\n";
+    text.append(name).append(": ").append(value).append("\r\n");
   }
   text += "\r\n" + response.body;
   mg_write(connection, text.data(), text.size());
--- a/tests/support/walk_world.cc
+++ b/tests/support/walk_world.cc
@@ -86,8 +86,9 @@
 
 void WalkWorld::Drain(std::uint32_t id) {
   network.members()[UpstreamId(id)].state = UpstreamState::kDraining;
-  network.WithSidecar(UpstreamId(id),
-                      [](auto& sidecar, auto&) { sidecar.StartDrain(); });
+  network.WithSidecar(UpstreamId(id), [](auto& sidecar, auto& effects) {
+    sidecar.StartDrain(effects);
+  });
   network.Publish();
   network.After(network.DrawDuration(seconds(5), 2 * kIdleTimeout),
                 [this, id, life = incarnations_[id]] {
