--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -35,7 +35,11 @@
   const auto wait = ToMicroseconds(admission_.ExpectedWait(now));
   auto& least = header.least_queued;
   const bool first = !header.Has(link::kFlagPassedOn);
-  if (first) least = {};
+  if (first) {
+    least = {};
+    // Those that were asked who owns the flow were not asked to take it.
+    header.visited.ForgetVisited();
+  }
   if (takes && (least.upstream == UpstreamId{} || wait < least.queue)) {
     least = {options_.id, wait};
   }
--- a/packages/engine/src/sidecar_members.cc
+++ b/packages/engine/src/sidecar_members.cc
@@ -55,6 +55,7 @@
   // Others took the flows over when the death was recorded.
   while (const auto oldest = flows_.Oldest()) EndFlow(*oldest, effects);
   options_.incarnation = incarnation;
+  options_.started = now;
   options_.permit_key = key;
   issuer_ = permit::PermitIssuer(options_.id, incarnation, key);
   permits_ = permit::PermitTable(options_.permit_capacity);
