Passing on by pace: the fastest unvisited upstream first

A place is held for a round trip, and a search of 7 hops is as long as the wait that it avoids.

Also: an upstream whose flow table is full is not the least queued one for a new flow.

--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -11,6 +11,7 @@
 #include "cowslip/engine/engine_error.h"
 #include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/pace_table.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -182,8 +183,12 @@
               SidecarEffects& effects);
 
   // Load: sidecar_load.cc.
+  std::uint32_t ServiceTime() const;
+  bool IsFaster(UpstreamId upstream, UpstreamId than) const;
+  const Upstream* FastestUnvisited(const link::FrameHeader& header);
   bool HasRoom(const link::Frame& frame, TimePoint now);
-  const Upstream* NextForWork(link::FrameHeader& header, TimePoint now);
+  const Upstream* NextForWork(link::FrameHeader& header, bool guest,
+                              TimePoint now);
   bool PassWork(const link::Frame& frame, std::uint8_t extra_flags,
                 TimePoint now, SidecarEffects& effects);
 
@@ -212,6 +217,7 @@
   RequestTable requests_;
   TransferTable transfers_;
   GuestList guests_;
+  PaceTable paces_;
   std::size_t guest_count_ = 0;
   RetryBudget retries_;
   TimePoint refused_until_{};  ///< The upstream is taken for dead until then.
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -190,6 +190,7 @@
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
   header.ticket = view_->ticket();
+  header.service_time = ServiceTime();
   counters_->Add(Counter::kFramesForwarded);
   effects.frames.push_back({to.sidecar, header, frame.payload});
   if (contacts_.OnSent(to.id, now_)) SendProbe(to, effects);
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -77,6 +77,7 @@
   header.ticket = view_ == nullptr ? TicketNumber{} : view_->ticket();
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
+  header.service_time = ServiceTime();
   return header;
 }
 
@@ -113,6 +114,9 @@
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
   }
+  if (from != header.balancer) {
+    paces_.Learn(UpstreamId(header.sender), header.service_time);
+  }
   switch (header.kind) {
     case FrameKind::kCallerData:
       OnCallerData(frame, from, now, effects);
--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -8,6 +8,8 @@
 
 /// Upstreams that a piece of work may visit in search of room.
 constexpr std::size_t kMaxVisits = 8;
+/// An upstream counts as faster if it takes at most this share of the time.
+constexpr double kFaster = 0.7;
 
 std::uint32_t ToMicroseconds(Duration wait) {
   const auto count =
@@ -21,6 +23,32 @@
 using link::Frame;
 using link::FrameHeader;
 
+std::uint32_t Sidecar::ServiceTime() const {
+  return ToMicroseconds(admission_.service_time());
+}
+
+bool Sidecar::IsFaster(UpstreamId upstream, UpstreamId than) const {
+  const auto own = paces_.Find(upstream);
+  const auto other = paces_.Find(than);
+  return own != 0 && other != 0 && own <= other * kFaster;
+}
+
+/// @return the fastest active upstream that the work has not visited, the
+///     first-ranked one among equals, or nullptr.
+const Upstream* Sidecar::FastestUnvisited(const FrameHeader& header) {
+  const Upstream* best = nullptr;
+  for (const auto* upstream : RankedFor(header.flow)) {
+    const bool able = upstream->id != options_.id &&
+                      upstream->state == UpstreamState::kActive &&
+                      !header.visited.Contains(upstream->id) &&
+                      !contacts_.IsSilent(upstream->id);
+    if (!able) continue;
+    if (best == nullptr || IsFaster(upstream->id, best->id)) best = upstream;
+  }
+  return best;
+}
+
+/// @return whether a request may run here without asking others.
 bool Sidecar::HasRoom(const Frame& frame, TimePoint now) {
   if (draining_ || now < refused_until_) return false;
   if (frame.header.Has(link::kFlagMustTake)) return true;
@@ -29,26 +57,23 @@
 
 /// Notes this upstream's queue and chooses who is asked next.
 /// @return nullptr if this upstream is to take or shed the work.
-const Upstream* Sidecar::NextForWork(FrameHeader& header, TimePoint now) {
+const Upstream* Sidecar::NextForWork(FrameHeader& header, bool guest,
+                                     TimePoint now) {
   if (header.Has(link::kFlagMustTake)) return nullptr;
-  const bool takes = !draining_ && now >= refused_until_;
+  paces_.Learn(options_.id, ServiceTime());
+  const bool takes =
+      !draining_ && now >= refused_until_ && (guest || !IsFull());
   const auto wait = ToMicroseconds(admission_.ExpectedWait(now));
   auto& least = header.least_queued;
-  const bool first = !header.Has(link::kFlagPassedOn);
-  if (first) least = {};
+  if (!header.Has(link::kFlagPassedOn)) least = {};
   if (takes && (least.upstream == UpstreamId{} || wait < least.queue)) {
     least = {options_.id, wait};
   }
-  const auto& visited = header.visited;
-  if (visited.ids().size() + 1 < kMaxVisits) {
-    for (const auto* upstream : RankedFor(header.flow)) {
-      if (upstream->id == options_.id || visited.Contains(upstream->id)) {
-        continue;
-      }
-      if (contacts_.IsSilent(upstream->id)) continue;
-      if (upstream->state == UpstreamState::kActive) return upstream;
-    }
-  }
+  const auto visits = header.visited.ids().size() + 1;
+  const auto* next = FastestUnvisited(header);
+  const bool found = least.upstream != UpstreamId{} && least.queue == 0;
+  const bool search = next != nullptr && visits < kMaxVisits && !found;
+  if (search) return next;
   header.flags |= link::kFlagMustTake;
   if (least.upstream == options_.id) return nullptr;
   return service_->Find(least.upstream);
@@ -61,9 +86,10 @@
   if (!frame.header.Has(link::kFlagPassedOn)) {
     passed.header.visited.ForgetVisited();
   }
-  const auto* next = NextForWork(passed.header, now);
+  const bool guest = (extra_flags & link::kFlagGuest) != 0;
+  const auto* next = NextForWork(passed.header, guest, now);
   if (next == nullptr) return false;
-  if ((extra_flags & link::kFlagGuest) == 0) {
+  if (!guest) {
     redirects_.Learn(frame.header.flow, next->id, next->incarnation, now);
   }
   Forward(passed, *next,
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -55,6 +55,8 @@
   std::uint64_t sequence = 0;  ///< Pairs a question with its answer.
   VisitedList visited;
   LeastQueued least_queued;  ///< Meaningful with kFlagPassedOn.
+  /// Mean service time at the sending upstream, in microseconds; 0: unknown.
+  std::uint32_t service_time = 0;
 
   bool Has(FrameFlag flag) const { return (flags & flag) != 0; }
 };
--- a/packages/link/src/frame_codec.cc
+++ b/packages/link/src/frame_codec.cc
@@ -40,7 +40,8 @@
           static_cast<std::uint16_t>(payload_size),
           flatbuffers::make_span(visited),
           Raw(header.least_queued.upstream),
-          header.least_queued.queue};
+          header.least_queued.queue,
+          header.service_time};
 }
 
 FrameHeader FromWire(const wire::Header& wire) {
@@ -64,6 +65,7 @@
     }
   }
   header.least_queued = {UpstreamId(wire.least_queued()), wire.least_queue()};
+  header.service_time = wire.service_time();
   return header;
 }
 
