--- a/experiments/engine_run.cc
+++ b/experiments/engine_run.cc
@@ -1,5 +1,6 @@
 #include "experiments/engine_run.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace cowslip::experiments {
@@ -19,6 +20,8 @@
 constexpr int kNetworkShift = 16;
 /// Time after the last arrival for answers to come.
 constexpr std::chrono::seconds kTail{30};
+/// Time between the registration of a flow's feed and its first request.
+constexpr std::chrono::milliseconds kFeedLead{50};
 /// Time before the first arrival, longer than a walk remembers joins.
 constexpr std::chrono::seconds kSettleTime{200};
 
@@ -144,12 +147,22 @@
 void EngineRun::SendJob(std::size_t index) {
   ++result_.offered;
   const auto flow = workload_.jobs[index].flow;
-  if (known_flows_.insert(flow).second) {
+  const auto [opened, is_new] = opened_.emplace(flow, Elapsed());
+  if (is_new) {
     opening_flows_.insert(flow);
     ++result_.new_flows;
   }
-  if (options_.feeds) RenewFeed(flow);
-  SendPost(index, nullptr);
+  if (!options_.feeds) {
+    SendPost(index, nullptr);
+    return;
+  }
+  if (is_new) RenewFeed(flow);
+  // A caller waits for its feed before it sends more.
+  const auto ready = opened->second + kFeedLead;
+  network_.After(std::max(Duration{}, ready - Elapsed()), [this, index, flow] {
+    RenewFeed(flow);
+    SendPost(index, nullptr);
+  });
 }
 
 void EngineRun::SendPost(std::size_t index, const Bytes* echo) {
--- a/experiments/engine_run.h
+++ b/experiments/engine_run.h
@@ -63,7 +63,7 @@
   testing::VirtualNetwork network_;
   TimePoint start_;
   std::vector<UpstreamModel> models_;
-  std::set<std::uint32_t> known_flows_;
+  std::map<std::uint32_t, Duration> opened_;  ///< When each flow was opened.
   std::set<std::uint32_t> opening_flows_;
   std::map<std::uint32_t, UpstreamId> feeds_;
   std::set<std::uint32_t> broken_;
