A renewal of a feed isn't shed

Cause: a renewed registration took the place of its observation in the request table; shedding it then forgot the observation, whose notifications were dropped as foreign, and an idle flow could move. RenewalOfAFeedIsNotShed failed first (3 arrivals, not 4; a 5.03).

--- a/packages/engine/include/cowslip/engine/request_table.h
+++ b/packages/engine/include/cowslip/engine/request_table.h
@@ -17,6 +17,7 @@
 enum class RequestAdded : std::uint8_t {
   kNew,
   kRepeated,  ///< The same message is in progress.
+  kRenewed,   ///< The observation of this token goes on.
   kFull,
 };
 
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -169,6 +169,9 @@
   void OnIdempotent(flow::FlowSlot slot, const coap::Message& request,
                     const link::Frame& frame, TimePoint now,
                     SidecarEffects& effects);
+  bool AdmitIdempotent(flow::FlowSlot slot, const coap::Message& request,
+                       bool busy, const link::Frame& frame, TimePoint now,
+                       SidecarEffects& effects);
   bool MoveIdleFlow(flow::FlowSlot slot, const link::Frame& frame,
                     TimePoint now, SidecarEffects& effects);
   bool ExpectsResponse(flow::FlowSlot slot, const coap::Message& response,
--- a/packages/engine/src/request_table.cc
+++ b/packages/engine/src/request_table.cc
@@ -25,6 +25,7 @@
   if (exists && found->second.stage == Stage::kWaiting) {
     return RequestAdded::kRepeated;
   }
+  const bool observed = exists && found->second.stage == Stage::kObserved;
   if (!exists && entries_.size() >= capacity_) return RequestAdded::kFull;
   Entry entry;
   entry.observes = request.FindUint(OptionNumber::kObserve) == kRegister;
@@ -33,7 +34,7 @@
   SetExpiry(key, entry, deadline);
   entries_.insert_or_assign(std::move(key), std::move(entry));
   ++waiting_;
-  return RequestAdded::kNew;
+  return observed ? RequestAdded::kRenewed : RequestAdded::kNew;
 }
 
 void RequestTable::SetWork(flow::FlowSlot slot, const Bytes& token,
--- a/packages/engine/src/sidecar_idempotent.cc
+++ b/packages/engine/src/sidecar_idempotent.cc
@@ -29,24 +29,33 @@
     Refuse(slot, request, effects);
     return;
   }
-  if (added == RequestAdded::kNew) {
-    const auto verdict = admission_.Judge(now);
-    if (verdict != flow::Verdict::kAdmit && !busy &&
-        MoveIdleFlow(slot, frame, now, effects)) {
-      return;
-    }
-    if (verdict == flow::Verdict::kShed) {
-      (void)requests_.TakeWaiting(slot, request.token);
-      counters_->Add(Counter::kRequestsShed);
-      Refuse(slot, request, effects);
-      return;
-    }
+  if (added == RequestAdded::kNew &&
+      !AdmitIdempotent(slot, request, busy, frame, now, effects)) {
+    return;
+  }
+  if (added != RequestAdded::kRepeated) {
     retries_.OnFirstTry();
     requests_.SetWork(slot, request.token, admission_.OnStarted(now));
   }
   effects.datagrams.push_back({slot, frame.payload});
 }
 
+/// @return false if the request was shed or its flow has moved.
+bool Sidecar::AdmitIdempotent(flow::FlowSlot slot, const Message& request,
+                              bool busy, const Frame& frame, TimePoint now,
+                              SidecarEffects& effects) {
+  const auto verdict = admission_.Judge(now);
+  if (verdict != flow::Verdict::kAdmit && !busy &&
+      MoveIdleFlow(slot, frame, now, effects)) {
+    return false;
+  }
+  if (verdict != flow::Verdict::kShed) return true;
+  (void)requests_.TakeWaiting(slot, request.token);
+  counters_->Add(Counter::kRequestsShed);
+  Refuse(slot, request, effects);
+  return false;
+}
+
 /// Lets another upstream adopt a flow that has no feed and no request.
 bool Sidecar::MoveIdleFlow(flow::FlowSlot slot, const Frame& frame,
                            TimePoint now, SidecarEffects& effects) {
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -115,6 +115,27 @@
   BOOST_TEST(*world.arrivals[2].message.FindUint(OptionNumber::kObserve) == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(RenewalOfAFeedIsNotShed) {
+  RequestFixture world(1, 1, 1);
+  auto observe = RequestFixture::Request(Code::kGet, 7);
+  observe.SetUint(OptionNumber::kObserve, 0);
+  world.Send(1, observe);
+  auto notification = MakeResponse(observe, Code::kContent);
+  notification.SetUint(OptionNumber::kObserve, 1);
+  world.Answer(world.arrivals.at(0), notification);
+  BOOST_TEST(!world.Post(2, 8).has_value());
+  BOOST_TEST(!world.Post(3, 9).has_value());
+  world.responses.clear();
+  observe.message_id = 10;
+  world.Send(1, observe);
+  BOOST_TEST(world.arrivals.size() == 4u);
+  BOOST_TEST(world.responses.size() == 0u);
+  notification.type = coap::Type::kNon;
+  notification.SetUint(OptionNumber::kObserve, 2);
+  world.Answer(world.arrivals.at(0), notification);
+  BOOST_TEST(world.responses.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(DownloadWithoutOwnerStartsOver) {
   RequestFixture world(2);
   auto request = RequestFixture::Request(Code::kGet, 7);
