--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -12,6 +12,7 @@
 #include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/pace_table.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -199,6 +200,9 @@
   void OnIdempotent(flow::FlowSlot slot, const coap::Message& request,
                     const link::Frame& frame, TimePoint now,
                     SidecarEffects& effects);
+  bool AdmitIdempotent(flow::FlowSlot slot, const coap::Message& request,
+                       bool busy, const link::Frame& frame, TimePoint now,
+                       SidecarEffects& effects);
   bool MoveIdleFlow(flow::FlowSlot slot, const link::Frame& frame,
                     TimePoint now, SidecarEffects& effects);
   bool ExpectsResponse(flow::FlowSlot slot, const coap::Message& response,
@@ -213,8 +217,12 @@
               SidecarEffects& effects);
 
   // Load: sidecar_load.cc.
+  std::uint32_t ServiceTime() const;
+  bool IsFaster(UpstreamId upstream, UpstreamId than) const;
+  const Upstream* FastestUnvisited(const link::FrameHeader& header);
   bool HasRoom(const link::Frame& frame, TimePoint now);
-  const Upstream* NextForWork(link::FrameHeader& header, TimePoint now);
+  const Upstream* NextForWork(link::FrameHeader& header, bool guest,
+                              TimePoint now);
   bool PassWork(const link::Frame& frame, std::uint8_t extra_flags,
                 TimePoint now, SidecarEffects& effects);
 
@@ -244,6 +252,7 @@
   RequestTable requests_;
   TransferTable transfers_;
   GuestList guests_;
+  PaceTable paces_;
   std::size_t guest_count_ = 0;
   RetryBudget retries_;
   TimePoint refused_until_{};  ///< The upstream is taken for dead until then.
