--- /dev/null
+++ b/examples/embed_membership.cc
@@ -0,0 +1,74 @@
+#include <cstdlib>
+#include <iostream>
+
+#include "cowslip/membership.h"
+
+using namespace std::chrono_literals;
+using namespace cowslip;
+
+namespace {
+
+constexpr char kTicket[] = R"(
+ticket: 1
+author: example
+services:
+  - {id: 1, name: custody, address: "127.53.0.1:5683", protocol: coap, prefer: balance, idle_timeout: 60s}
+)";
+
+membership::ViewPtr MakeView(std::uint32_t members) {
+  LastReason<ticket::TicketError> reason;
+  const auto parsed = ticket::ParseTicket(kTicket, "example", reason);
+  std::vector<Upstream> upstreams;
+  for (std::uint32_t id = 1; id <= members; ++id) {
+    Upstream upstream;
+    upstream.id = UpstreamId(id);
+    upstream.service = ServiceId(1);
+    upstream.incarnation = Incarnation(1);
+    upstream.sidecar = {id, 7000};
+    upstreams.push_back(upstream);
+  }
+  return std::make_shared<membership::View>(
+      1, *ticket::TicketState{}.Apply(*parsed, reason), std::move(upstreams));
+}
+
+}  // namespace
+
+/// Member 1 of a service watches its neighbours in virtual time. Member 2 has
+/// died; the others answer, and member 1 asks them before it records the death.
+int main() {
+  membership::LivenessOptions options;
+  options.id = UpstreamId(1);
+  options.service = ServiceId(1);
+  LastReason<membership::MembershipError> reason;
+  auto monitor = membership::LivenessMonitor::Create(options, reason);
+  if (!monitor) {
+    std::cerr << reason.Message() << "\n";
+    return EXIT_FAILURE;
+  }
+  TimePoint now{};
+  membership::LivenessEffects effects;
+  monitor->OnView(MakeView(5), now);
+  monitor->OnHeard(UpstreamId(2), Incarnation(1), false, now, effects);
+  while (now < TimePoint(30s)) {
+    now += 100ms;
+    effects.Clear();
+    monitor->OnTick(now, effects);
+    const auto wanted = effects;
+    for (const auto& probe : wanted.probes) {
+      if (probe.to.address == 2) continue;
+      monitor->OnHeard(UpstreamId(probe.to.address), Incarnation(1), false, now,
+                       effects);
+    }
+    effects.Clear();
+    for (const auto& question : wanted.questions) {
+      std::cout << "asked member " << question.to.address << "\n";
+      monitor->OnAnswer(UpstreamId(question.to.address), question.inquiry,
+                        false, now, effects);
+    }
+    for (const auto& death : effects.records) {
+      std::cout << "record the death of member " << Raw(death.subject) << "\n";
+      return EXIT_SUCCESS;
+    }
+  }
+  return EXIT_FAILURE;
+}
--- a/packages/daemon/src/sidecar_daemon.cc
+++ b/packages/daemon/src/sidecar_daemon.cc
@@ -1,5 +1,7 @@
 #include "cowslip/daemon/sidecar_daemon.h"
 
+#include <algorithm>
+#include <random>
 #include <thread>
 
 #include "burn_board.h"
@@ -10,6 +12,7 @@
 #include "cowslip/daemon/http_face.h"
 #include "cowslip/daemon/membership_thread.h"
 #include "cowslip/daemon/sidecar_loop.h"
+#include "health_poller.h"
 #include "instance_pages.h"
 #include "sidecar_health.h"
 #include "stop_signal.h"
@@ -20,22 +23,41 @@
 using telemetry::Level;
 using telemetry::Log;
 
-constexpr std::chrono::milliseconds kClaimRetry{500};
+constexpr std::chrono::milliseconds kFirstClaimRetry{500};
+constexpr std::chrono::milliseconds kMaxClaimRetry{30000};
 constexpr std::chrono::milliseconds kDrainPoll{50};
 /// Time for others to hear that this sidecar leaves.
 constexpr std::chrono::seconds kLeaveGrace{2};
 /// Kept from the drain timeout for the store.
 constexpr std::chrono::milliseconds kWithdrawLimit{900};
 
+/// Delays that double up to a limit, with a random half, so that processes that
+/// lost the store together don't come back together.
+class Backoff {
+ public:
+  std::chrono::milliseconds Next() {
+    std::uniform_int_distribution<std::int64_t> jitter(limit_.count() / 2,
+                                                       limit_.count());
+    const std::chrono::milliseconds delay(jitter(generator_));
+    limit_ = std::min(2 * limit_, kMaxClaimRetry);
+    return delay;
+  }
+
+ private:
+  std::mt19937_64 generator_{std::random_device{}()};
+  std::chrono::milliseconds limit_ = kFirstClaimRetry;
+};
+
 std::optional<Claimed> ClaimUntilStopped(Announcer& announcer,
                                          const StopSignal& stop) {
+  Backoff backoff;
   while (true) {
     LastReason<DaemonError> reason;
     const auto begun = std::chrono::steady_clock::now();
     const auto incarnation = announcer.Claim(reason);
     if (incarnation) return Claimed{*incarnation, begun};
     Log(Level::kWarn, "announcement_failed", {{"reason", reason.Message()}});
-    if (stop.WaitFor(kClaimRetry)) return std::nullopt;
+    if (stop.WaitFor(backoff.Next())) return std::nullopt;
   }
 }
 
@@ -134,6 +156,9 @@
   metrics.Add(std::make_shared<EngineMetrics<SidecarLoop>>(
       std::vector<const SidecarLoop*>{loop.get()}));
   health.SetLoop(loop.get());
+  const HealthPoller poller(settings.sidecar->health, [&members](bool healthy) {
+    members.Answer(HealthHint{healthy});
+  });
   Log(Level::kInfo, "sidecar_started",
       {{"incarnation", Raw(claimed->incarnation)},
        {"frames", ToString(settings.sidecar->frames)}});
--- a/packages/membership/include/cowslip/membership/liveness_monitor.h
+++ b/packages/membership/include/cowslip/membership/liveness_monitor.h
@@ -60,6 +60,7 @@
     TimePoint next_probe;
     TimePoint next_inquiry;
     bool recording = false;
+    int unsettled = 0;  ///< Inquiries in a row that settled nothing.
     std::optional<DeathInquiry> inquiry;
   };
 
--- a/packages/membership/src/liveness_monitor.cc
+++ b/packages/membership/src/liveness_monitor.cc
@@ -75,6 +75,7 @@
   target->last_heard = now;
   target->heard = true;
   target->leaving = leaving;
+  target->unsettled = 0;
   target->inquiry.reset();
 }
 
@@ -219,6 +220,7 @@
       NoteCount(target.inquiry->count());
       break;
     case InquiryVerdict::kUnsettled:
+      ++target.unsettled;
       NoteCount(target.inquiry->count());
       break;
     case InquiryVerdict::kRefuted:
@@ -236,9 +238,12 @@
 void LivenessMonitor::RetryLater(Target& target, TimePoint now) {
   std::uniform_int_distribution<Duration::rep> jitter(
       0, options_.retry_after.count());
+  constexpr int kMaxDoublings = 4;
+  const int doublings = std::clamp(target.unsettled - 1, 0, kMaxDoublings);
   target.inquiry.reset();
   target.next_inquiry =
-      now + options_.retry_after + Duration(jitter(generator_));
+      now +
+      (options_.retry_after + Duration(jitter(generator_))) * (1 << doublings);
 }
 
 /// Members of the service in random order, some of the subject's data centre
--- a/packages/settings/include/cowslip/settings/daemon_settings.h
+++ b/packages/settings/include/cowslip/settings/daemon_settings.h
@@ -51,6 +51,7 @@
   std::uint32_t slots = 1;
   double weight = 1.0;
   std::chrono::milliseconds slow_start{0};
+  std::string health;  ///< URL of the upstream's health, only a hint.
 };
 
 /// Settings of one cowslipd process.
--- a/packages/settings/src/daemon_settings.cc
+++ b/packages/settings/src/daemon_settings.cc
@@ -86,6 +86,7 @@
       reader.Real("weight", {kMinWeight, kMaxWeight}, sidecar.weight);
   sidecar.slow_start =
       reader.Time("slow_start", kSlowStartRange, sidecar.slow_start);
+  if (reader.Has("health")) sidecar.health = reader.Text("health");
   reader.Finish();
   return sidecar;
 }
--- a/tests/liveness_test.cc
+++ b/tests/liveness_test.cc
@@ -187,5 +187,24 @@
   BOOST_TEST(large <= small * 1.05);
 }
 
+BOOST_AUTO_TEST_CASE(a_long_split_of_regions_fits_the_control_budget) {
+  constexpr std::size_t kMembers = 120;
+  constexpr double kFrameBytes = 148;
+  constexpr double kBudget = 3000;
+  LivenessWorld world({.seed = 5, .members = kMembers, .data_centers = 3});
+  world.Run(kCalm);
+  world.Cut([](auto from, auto to) { return from % 3 == to % 3; });
+  for (const int minute : {1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
+    const auto before = world.frames();
+    world.Run(seconds(60));
+    const auto rate = static_cast<double>(world.frames() - before) / kMembers /
+                      60 * kFrameBytes;
+    BOOST_TEST_MESSAGE("minute " << minute << " of a split: " << rate
+                                 << " bytes/s sent by a member");
+    BOOST_TEST(rate <= kBudget);
+  }
+  BOOST_TEST(world.record_writes() == 0U);
+}
+
 }  // namespace
 }  // namespace cowslip::test
