A superseded sidecar says so: the state is stored before the main thread wakes

membership_process_test, ARestartUnderTheSameIdSupersedesTheSleeper, failed once in three runs with exit code 0 instead of 3: the main thread woke before the traffic thread had stored that the lease is lost, and drained as if SIGTERM had come.

--- a/examples/embed_membership.cc
+++ b/examples/embed_membership.cc
@@ -3,11 +3,19 @@
 
 #include "cowslip/membership.h"
 
-using namespace std::chrono_literals;
-using namespace cowslip;
-
 namespace {
 
+using cowslip::Incarnation;
+using cowslip::LastReason;
+using cowslip::ServiceId;
+using cowslip::TimePoint;
+using cowslip::Upstream;
+using cowslip::UpstreamId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+namespace membership = cowslip::membership;
+namespace ticket = cowslip::ticket;
+
 constexpr char kTicket[] = R"(
 ticket: 1
 author: example
@@ -49,8 +57,8 @@
   membership::LivenessEffects effects;
   monitor->OnView(MakeView(5), now);
   monitor->OnHeard(UpstreamId(2), Incarnation(1), false, now, effects);
-  while (now < TimePoint(30s)) {
-    now += 100ms;
+  while (now < TimePoint(seconds(30))) {
+    now += milliseconds(100);
     effects.Clear();
     monitor->OnTick(now, effects);
     const auto wanted = effects;
--- a/packages/daemon/src/sidecar_loop.cc
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -254,6 +254,8 @@
     case Standing::kSuperseded:
       telemetry::Log(Level::kError, "incarnation_superseded", {incarnation});
       sidecar_.OnSuperseded();
+      // Before the main thread wakes, which asks why it shall stop.
+      lease_ = sidecar_.lease();
       StopSignal::Raise();
       return;
   }
