--- a/packages/daemon/include/cowslip/daemon/control_thread.h
+++ b/packages/daemon/include/cowslip/daemon/control_thread.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <string_view>
 #include <thread>
 
 #include "cowslip/daemon/control_state.h"
@@ -32,6 +33,8 @@
   bool store_reachable() const { return stats_.store_reachable; }
   TicketNumber ticket() const { return TicketNumber(stats_.ticket.load()); }
   const ControlStats& stats() const { return stats_; }
+  /// @return why no ticket is in force, for operators.
+  std::string_view NoTicketReason() const;
 
  private:
   explicit ControlThread(ViewCell& views);
@@ -43,6 +46,7 @@
   void LogEffects();
   void Publish();
   void UpdateStats();
+  void WarnWithoutTicket(TimePoint now);
 
   ViewCell& views_;
   ControlStats stats_;
@@ -52,6 +56,7 @@
   std::unique_ptr<StoreWatch> watch_;
   std::unique_ptr<StoreCalls> calls_;
   bool store_lost_ = false;
+  TimePoint warn_at_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
 };
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,7 +9,10 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/member_role.h"
+#include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/pace_table.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -35,8 +38,13 @@
   std::size_t permit_capacity = 100'000;
   std::size_t redirect_capacity = 200'000;
   std::size_t request_capacity = 20'000;
+  std::size_t observation_capacity = 100'000;
   Duration slow_start{};
   Duration clock_skew{std::chrono::seconds(1)};
+  /// Longest time by which views of the members differ.
+  Duration view_lag{std::chrono::seconds(5)};
+  flow::SilenceLimits silence{std::chrono::milliseconds(100),
+                              std::chrono::milliseconds(50), 8};
   /// A pause between two events longer than this makes the sidecar refuse new
   /// work until it is confirmed.
   Duration lease{std::chrono::seconds(5)};
@@ -84,11 +92,13 @@
   Incarnation incarnation() const { return options_.incarnation; }
 
   bool draining() const { return draining_; }
+  bool Owns(const FlowKey& key) const;
   std::size_t flow_count() const { return flows_.size(); }
   std::size_t known_balancers() const { return replies_.known_balancers(); }
   std::size_t runs_in_progress() const {
     return runs_.size() + requests_.waiting();
   }
+  const flow::Admission& admission() const { return admission_; }
   const Counters& counters() const { return *counters_; }
 
  private:
@@ -113,21 +123,54 @@
                     SidecarEffects& effects);
   void Settle(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   bool CanAdopt(TimePoint now);
+  bool IsFull() const;
   void Adopt(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void PassOn(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void Forward(const link::Frame& frame, const Upstream& to,
                std::uint8_t extra_flags, SidecarEffects& effects);
+  void SendProbe(const Upstream& to, SidecarEffects& effects);
+  void ProbeSuspects(SidecarEffects& effects);
   void ServeOwned(flow::FlowSlot slot, const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
-  void AnnounceOwnership(flow::Flow& flow, const link::VisitedList& visited,
-                         TimePoint now, SidecarEffects& effects);
-  void RefreshRedirects(flow::Flow& flow, TimePoint now,
-                        SidecarEffects& effects);
   void ServeGuest(const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
+  void ExpireGuests(TimePoint now, SidecarEffects& effects);
+  std::optional<flow::FlowSlot> Own(const FlowKey& key, TimePoint now);
+  const Upstream* FirstToAdopt(const link::FrameHeader& header);
   void ExpireFlows(TimePoint now, SidecarEffects& effects);
   void EndFlow(flow::FlowSlot slot, SidecarEffects& effects);
 
+  // Ownership: sidecar_ownership.cc.
+  link::FrameHeader MakeRedirect(const flow::Flow& flow) const;
+  void SendRedirect(const flow::Flow& flow, const Endpoint& to,
+                    SidecarEffects& effects);
+  void AnnounceOwnership(const flow::Flow& flow,
+                         const link::FrameHeader& header,
+                         SidecarEffects& effects);
+  void RefreshRedirects(flow::Flow& flow, SidecarEffects& effects);
+  void OnRedirect(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void Arbitrate(flow::FlowSlot slot, const link::Frame& frame,
+                 const Endpoint& from, SidecarEffects& effects);
+  void Yield(flow::FlowSlot slot, const link::Frame& frame,
+             SidecarEffects& effects);
+
+  // Feeds: sidecar_feeds.cc.
+  bool TrackCallerMessage(flow::FlowSlot slot, ByteView payload,
+                          SidecarEffects& effects);
+  bool TrackUpstreamMessage(flow::FlowSlot slot, coap::Message& message,
+                            SidecarEffects& effects);
+  void RepeatNotifications(SidecarEffects& effects);
+  void AckHandover(const FlowKey& key, const Observation& observation,
+                   SidecarEffects& effects);
+  void OnHandover(const link::Frame& frame, const Endpoint& from,
+                  SidecarEffects& effects);
+  void HandOverFeeds(SidecarEffects& effects);
+  const Upstream* Successor(const FlowKey& key, std::uint32_t tries);
+  void SendHandover(flow::FlowSlot slot, const Feed& feed,
+                    Observation& observation, SidecarEffects& effects);
+  void OnHandoverAck(const link::Frame& frame, SidecarEffects& effects);
+
   // Requests: sidecar_requests.cc.
   void OnCallerMessage(flow::FlowSlot slot, ByteView payload,
                        const link::Frame& frame, TimePoint now,
@@ -139,7 +182,8 @@
                    const permit::Permit& permit, TimePoint now,
                    SidecarEffects& effects);
   void Run(flow::FlowSlot slot, coap::Message& request,
-           permit::PermitNumber number, TimePoint now, SidecarEffects& effects);
+           const permit::Permit& permit, TimePoint now,
+           SidecarEffects& effects);
   void RefuseRun(flow::FlowSlot slot, const coap::Message& request,
                  permit::PermitNumber number, SidecarEffects& effects);
   void Challenge(flow::FlowSlot slot, const coap::Message& request,
@@ -156,10 +200,15 @@
   void OnIdempotent(flow::FlowSlot slot, const coap::Message& request,
                     const link::Frame& frame, TimePoint now,
                     SidecarEffects& effects);
+  bool AdmitIdempotent(flow::FlowSlot slot, const coap::Message& request,
+                       bool busy, const link::Frame& frame, TimePoint now,
+                       SidecarEffects& effects);
   bool MoveIdleFlow(flow::FlowSlot slot, const link::Frame& frame,
                     TimePoint now, SidecarEffects& effects);
-  void OnResponse(flow::FlowSlot slot, const coap::Message& response,
-                  ByteView payload, TimePoint now, SidecarEffects& effects);
+  bool ExpectsResponse(flow::FlowSlot slot, const coap::Message& response,
+                       TimePoint now, std::optional<RunTable::Run>& run);
+  RequestAdded NoteRequest(flow::FlowSlot slot, const coap::Message& request,
+                           ByteView datagram);
   void EndWork(const flow::Work& work, bool refused, TimePoint now);
   void Retry(const RequestTable::Waiting& request, TimePoint now,
              SidecarEffects& effects);
@@ -168,12 +217,17 @@
               SidecarEffects& effects);
 
   // Load: sidecar_load.cc.
+  std::uint32_t ServiceTime() const;
+  bool IsFaster(UpstreamId upstream, UpstreamId than) const;
+  const Upstream* FastestUnvisited(const link::FrameHeader& header);
   bool HasRoom(const link::Frame& frame, TimePoint now);
-  const Upstream* NextForWork(link::FrameHeader& header, TimePoint now);
+  const Upstream* NextForWork(link::FrameHeader& header, bool guest,
+                              TimePoint now);
   bool PassWork(const link::Frame& frame, std::uint8_t extra_flags,
                 TimePoint now, SidecarEffects& effects);
 
   // Frames: sidecar_frames.cc.
+  void ForgetRestarted(const membership::ServiceView* before);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
   void Reply(flow::FlowSlot slot, ByteView payload, SidecarEffects& effects);
   void SendReply(flow::FlowSlot slot, ByteView payload, bool matters,
@@ -190,18 +244,25 @@
   flow::RedirectTable redirects_;
   flow::Admission admission_;
   flow::Ranking ranking_;
+  flow::ContactTable contacts_;
   permit::PermitIssuer issuer_;
   permit::PermitTable permits_;
   RunTable runs_;
   MemberRole members_;
   RequestTable requests_;
   TransferTable transfers_;
+  GuestList guests_;
+  PaceTable paces_;
+  std::size_t guest_count_ = 0;
   RetryBudget retries_;
   TimePoint refused_until_{};  ///< The upstream is taken for dead until then.
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
+  ObservationTable observations_;
+  std::uint64_t last_handover_ = 0;
   TimePoint now_{};  ///< Of the latest event.
+  Endpoint from_;    ///< Sender of the latest frame.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -46,7 +46,7 @@
     const auto* other = service_->Find(named->upstream);
     const bool alive = other != nullptr && other->id != options_.id &&
                        other->incarnation == named->incarnation;
-    if (alive && !frame.header.visited.Contains(other->id)) {
+    if (alive) {
       Forward(frame, *other, link::kFlagGuest | link::kFlagWalkDone, effects);
       return;
     }
@@ -78,7 +78,7 @@
         RefuseRun(slot, request, permit.number, effects);
         return;
       }
-      Run(slot, request, permit.number, now, effects);
+      Run(slot, request, permit, now, effects);
       return;
     case RunDecision::kInProgress:
       return;
@@ -108,9 +108,8 @@
   Reply(slot, effects.scratch.Keep(std::move(*bytes)), effects);
 }
 
-void Sidecar::Run(flow::FlowSlot slot, Message& request,
-                  permit::PermitNumber number, TimePoint now,
-                  SidecarEffects& effects) {
+void Sidecar::Run(flow::FlowSlot slot, Message& request, const Permit& permit,
+                  TimePoint now, SidecarEffects& effects) {
   counters_->Add(Counter::kRuns);
   request.RemoveOption(OptionNumber::kEcho);
   LastReason<coap::CoapError> reason;
@@ -119,10 +118,10 @@
     effects.datagrams.push_back(
         {slot, effects.scratch.Keep(std::move(*bytes))});
   }
-  admission_.OnPromiseKept();
+  admission_.OnPromiseKept(permit.expires - permit::PermitIssuer::kLifetime);
   const auto work = admission_.OnStarted(now);
-  runs_.Add(
-      {slot, number, request, now + service_->service.request_timeout, work});
+  runs_.Add({slot, permit.number, request,
+             now + service_->service.request_timeout, work});
 }
 
 /// Grants a permit, or passes the request to an upstream that has room.
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -34,6 +34,7 @@
   kFlagReachable = 1 << 5,  ///< kDeathAnswer: the upstream was reached.
   kFlagByRedirect = 1 << 6,  ///< Forwarded by an upstream that knows the owner.
   kFlagLeaving = 1 << 7,     ///< kProbeAck: the sender takes no new work.
+  kFlagVerdict = 1 << 7,     ///< kRedirect: the receiver gives its flow up.
 };
 
 /// The least loaded of the full upstreams that a frame has passed. On
@@ -58,6 +59,8 @@
   std::uint64_t sequence = 0;
   VisitedList visited;
   LeastQueued least_queued;  ///< Meaningful with kFlagPassedOn.
+  /// Mean service time at the sending upstream, in microseconds; 0: unknown.
+  std::uint32_t service_time = 0;
 
   bool Has(FrameFlag flag) const { return (flags & flag) != 0; }
 };
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -110,10 +110,14 @@
                                      const std::string& http,
                                      const std::string& control,
                                      const std::string& section) {
+  std::string peers = "peers: [";
+  for (int id = 1; id <= options_.peers; ++id) {
+    peers += "\"" + site_.BalancerControl(id) + "\", ";
+  }
   WriteFile(
       directory_.File(name + ".yaml"),
       DaemonSettingsText(site_, name, http, control, options_.drain_timeout) +
-          section);
+          peers + "]\n" + section);
 }
 
 void Deployment::StartBalancer(int id) {
@@ -184,10 +188,11 @@
 }
 
 int Deployment::SubmitTicket(int number,
-                             const std::vector<ServiceOptions>& services) {
+                             const std::vector<ServiceOptions>& services,
+                             const std::vector<int>& removed) {
   const auto file =
       directory_.File("ticket-" + std::to_string(number) + ".yaml");
-  WriteFile(file, TicketText(site_, number, services));
+  WriteFile(file, TicketText(site_, number, services, removed));
   return RunCtl({"ticket", "submit", file});
 }
 
--- a/tests/process/deployment_options.h
+++ b/tests/process/deployment_options.h
@@ -9,12 +9,16 @@
 /// One service of a ticket.
 struct ServiceOptions {
   int id = 1;
+  /// Empty for "service-ID".
+  std::string name{};
   /// Number of the VIP of the site.
   int vip = 1;
   std::string protocol = "coap";
   std::string prefer = "continuity";
   std::string idle_timeout = "60s";
   std::string request_timeout = "20s";
+  int max_flows = 2000;
+  int max_queue = 16;
 };
 
 /// Shape of a deployment.
@@ -23,6 +27,8 @@
   std::uint64_t seed = 1;
   int balancers = 3;
   int upstreams_per_service = 2;
+  /// Balancers that every daemon names as peers in its settings.
+  int peers = 0;
   int slots = 7;
   std::string drain_timeout = "10s";
   /// Services of ticket 1; sidecar and upstream n of service s have the id
