--- a/experiments/engine_run.h
+++ b/experiments/engine_run.h
@@ -65,7 +65,13 @@
   std::vector<UpstreamModel> models_;
   std::map<std::uint32_t, Duration> opened_;  ///< When each flow was opened.
   std::set<std::uint32_t> opening_flows_;
-  std::map<std::uint32_t, UpstreamId> feeds_;
+  /// Where a feed is, and where it was before it was handed over: a draining
+  /// upstream serves it until its own part has ended.
+  struct FeedPlace {
+    UpstreamId owner{};
+    UpstreamId predecessor{};
+  };
+  std::map<std::uint32_t, FeedPlace> feeds_;
   std::set<std::uint32_t> broken_;
   std::uint16_t next_message_id_ = 1;
   std::uint64_t answered_ = 0;
--- a/packages/engine/src/sidecar_idempotent.cc
+++ b/packages/engine/src/sidecar_idempotent.cc
@@ -11,7 +11,6 @@
 
 using coap::Code;
 using coap::Message;
-using coap::OptionNumber;
 using link::Frame;
 
 void Sidecar::OnIdempotent(flow::FlowSlot slot, const Message& request,
