--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -143,8 +143,9 @@
   effects.in_force.clear();
   effects.refused.clear();
   effects.items_changed = false;
-  if (changed) Publish();
+  // Others get the news before this process spends time on its own view.
   relay_->CarryOut();
+  if (changed) Publish();
 }
 
 void ControlThread::LogEffects() {
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -109,6 +109,7 @@
   ItemTable items_;
   std::map<std::string, Peer> peers_;    ///< From instance records, by key.
   std::map<std::string, Peer> hearsay_;  ///< Named by others, by instance.
+  std::optional<std::size_t> position_;  ///< Among them, until they change.
   std::map<LinkId, Link> links_;
   std::uint64_t next_link_ = 1;
   bool watching_ = false;
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -63,6 +63,7 @@
 
 void Node::OnPeersRead(const std::vector<Peer>& peers) {
   peers_known_ = true;
+  position_.reset();
   for (const auto& peer : peers) hearsay_[peer.instance] = peer;
 }
 
--- a/packages/relay/src/node_messages.cc
+++ b/packages/relay/src/node_messages.cc
@@ -47,6 +47,7 @@
 
 void Node::NoteItem(const Item& item) {
   if (!item.key.starts_with(InstancePrefix())) return;
+  position_.reset();
   LastReason<RelayError> reason;
   const auto peer = DecodePeer(item.value, reason);
   if (peer) {
@@ -97,6 +98,7 @@
 }
 
 void Node::Handle(LinkId, Link&, const Peers& peers, Effects&) {
+  position_.reset();
   for (const auto& peer : peers.peers) hearsay_[peer.instance] = peer;
 }
 
@@ -104,8 +106,11 @@
                   Effects& effects) {
   link.ticket = std::max(link.ticket, text.number);
   if (ApplyTicket(text, effects)) {
+    // Whoever is nearer to the store hears of it from there, and else asks
+    // after the next beat.
     for (auto& [other, neighbour] : links_) {
-      PushTickets(other, neighbour, effects);
+      const bool nearer = neighbour.depth < DepthWithout(other);
+      if (!nearer) PushTickets(other, neighbour, effects);
     }
   } else if (text.number > tickets_.number() && effects.refused.empty()) {
     effects.Send(id, Want{tickets_.number()});
--- a/packages/relay/src/node_review.cc
+++ b/packages/relay/src/node_review.cc
@@ -58,8 +58,10 @@
 bool Node::ShouldWatch(TimePoint now) {
   if (now - linked_at_ > lonely_patience_) return true;
   if (options_.leaf) return false;
-  const PeerRanking ranking(options_.self, KnownPeers());
-  const auto group = ranking.position() / options_.shape.watchers;
+  if (!position_) {
+    position_ = PeerRanking(options_.self, KnownPeers()).position();
+  }
+  const auto group = *position_ / options_.shape.watchers;
   if (group == 0) return peers_known_;
   constexpr std::size_t kMaxGroup = 20;
   const auto patience = options_.patience * (1LL << std::min(group, kMaxGroup));
