--- a/packages/daemon/src/balancer_loop.cc
+++ b/packages/daemon/src/balancer_loop.cc
@@ -111,6 +111,8 @@
         ReadCallers(*entries_by_tag_.at(tag), now);
       }
     }
+    balancer_.OnTick(now, effects_);
+    CarryOut();
   }
 }
 
@@ -158,7 +160,7 @@
   }
   send_.Flush();
   for (const auto& fetch : effects_.fetches) {
-    noticed_ = std::max(noticed_.load(), Raw(fetch.number));
+    views_.NoteTicket(fetch.number);
   }
   effects_.Clear();
 }
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -41,17 +41,15 @@
 
 std::unique_ptr<ControlThread> ControlThread::Start(
     const settings::DaemonSettings& settings, ViewCell& views,
-    NoticedTicket noticed, LastReason<DaemonError>& reason) {
-  auto control = std::unique_ptr<ControlThread>(
-      new ControlThread(views, std::move(noticed)));
+    LastReason<DaemonError>& reason) {
+  auto control = std::unique_ptr<ControlThread>(new ControlThread(views));
   if (!control->Open(settings, reason)) return nullptr;
   control->thread_ = std::thread([raw = control.get()] { raw->Run(); });
   return control;
 }
 
-ControlThread::ControlThread(ViewCell& views, NoticedTicket noticed)
+ControlThread::ControlThread(ViewCell& views)
     : views_(views),
-      noticed_(std::move(noticed)),
       mailbox_(std::make_unique<Mailbox>()),
       warn_at_(std::chrono::steady_clock::now() + kFirstWarning) {}
 
@@ -89,9 +87,8 @@
     relay_->Poll(mailbox_->fd(), kTick);
     HandleMail();
     const auto now = std::chrono::steady_clock::now();
-    if (noticed_) {
-      relay_->node().OnTicketNoticed(noticed_(), now, relay_->effects());
-    }
+    relay_->node().OnTicketNoticed(views_.noticed_ticket(), now,
+                                   relay_->effects());
     relay_->node().OnTick(now, relay_->effects());
     CarryOut();
     UpdateStats();
--- a/packages/engine/include/cowslip/engine/balancer.h
+++ b/packages/engine/include/cowslip/engine/balancer.h
@@ -7,6 +7,7 @@
 #include "cowslip/engine/balancer_effects.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/greetings.h"
 #include "cowslip/flow.h"
 #include "cowslip/link.h"
 #include "cowslip/membership.h"
@@ -18,8 +19,7 @@
   Endpoint frames;  ///< Where sidecars send replies.
   std::size_t hint_capacity = 1 << 19;
   flow::SilenceLimits silence{std::chrono::milliseconds(100),
-                              std::chrono::milliseconds(400),
-                              std::chrono::milliseconds(100)};
+                              std::chrono::milliseconds(50), 8};
 };
 
 /// A caller's datagram as it arrived on a service's address.
@@ -38,11 +38,13 @@
                                         LastReason<EngineError>& reason);
 
   /// Replaces the view; services and upstreams may have changed.
-  void OnView(membership::ViewPtr view) { view_ = std::move(view); }
+  void OnView(membership::ViewPtr view);
   void OnCallerDatagram(const CallerDatagram& datagram, TimePoint now,
                         BalancerEffects& effects);
   void OnFrame(const link::Frame& frame, const Endpoint& from, TimePoint now,
                BalancerEffects& effects);
+  /// Greets sidecars that are new. Call it every 10 to 100 ms.
+  void OnTick(TimePoint now, BalancerEffects& effects);
   /// Tells every sidecar that replies should take another balancer.
   void StartDrain(BalancerEffects& effects);
 
@@ -58,6 +60,8 @@
   void ProbeIfDue(const membership::ServiceView& service,
                   const Upstream& upstream, TimePoint now,
                   BalancerEffects& effects);
+  void SendProbe(const membership::ServiceView& service,
+                 const Upstream& upstream, BalancerEffects& effects);
   void OnReply(const link::Frame& frame, const Endpoint& from, TimePoint now,
                BalancerEffects& effects);
   link::FrameHeader MakeHeader(link::FrameKind kind,
@@ -67,6 +71,7 @@
   membership::ViewPtr view_;
   flow::HintCache hints_;
   flow::ContactTable contacts_;
+  Greetings greetings_;
   std::unique_ptr<Counters> counters_;
 };
 
--- a/packages/engine/src/counters.cc
+++ b/packages/engine/src/counters.cc
@@ -32,6 +32,17 @@
         "replies_retried",
         "handovers_sent",
         "handovers_taken",
+        "replies_not_kept",
+        "requests_passed_on",
+        "requests_shed",
+        "requests_refused",
+        "requests_retried",
+        "requests_overdue",
+        "transfers_restarted",
+        "upstream_refusals",
+        "flows_yielded",
+        "feeds_not_tracked",
+        "notifications_repeated",
     };
 
 }  // namespace
