--- a/standins/caller/coap_client.cc
+++ b/standins/caller/coap_client.cc
@@ -60,14 +60,17 @@
   return text;
 }
 
-/// @return whether a message is one block of a larger body, which libcoap hands
-/// on when it comes again after its own transfer has moved on.
-bool IsLoneBlock(const coap_pdu_t* message) {
-  coap_block_t block;
-  if (coap_get_block(message, COAP_OPTION_BLOCK2, &block) == 0) return false;
-  const std::size_t block_bytes = std::size_t{1} << (block.szx + 4U);
-  const bool is_part = block.num > 0 || block.m != 0;
-  return is_part && Payload(message).size() <= block_bytes;
+/// @return false for a single block of a larger body, which libcoap passes on
+/// if it has no state for the transfer (any more).
+bool IsWhole(const coap_pdu_t* message) {
+  constexpr unsigned kSmallestBlockBits = 4;
+  coap_block_t block{};
+  if (coap_get_block(message, COAP_OPTION_BLOCK2, &block) == 0) return true;
+  const std::size_t bytes_before = std::size_t{block.num}
+                                   << (block.szx + kSmallestBlockBits);
+  const bool has_earlier_blocks =
+      block.num == 0 || Payload(message).size() > bytes_before;
+  return block.m == 0 && has_earlier_blocks;
 }
 
 CoapResponse ToResponse(const coap_pdu_t* message) {
@@ -181,9 +184,8 @@
       coap_get_app_data(coap_session_get_context(session)));
   // libcoap repeats a challenged request by itself, once, and passes only a
   // later challenge on.
-  if (client.on_response_ && !IsLoneBlock(received)) {
-    client.receiving_ = client.on_response_(ToResponse(received));
-  }
+  const bool is_wanted = client.on_response_ && IsWhole(received);
+  if (is_wanted) client.receiving_ = client.on_response_(ToResponse(received));
   return COAP_RESPONSE_OK;
 }
 
--- a/standins/caller/main.cc
+++ b/standins/caller/main.cc
@@ -1,9 +1,9 @@
 #include <xxhash.h>
 
-#include <array>
-#include <cstdio>
 #include <fstream>
+#include <iomanip>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "standins/caller/coap_client.h"
@@ -66,10 +66,10 @@
 }
 
 std::string Digest(const std::string& bytes) {
-  std::array<char, 17> text;
-  const unsigned long long digest = XXH3_64bits(bytes.data(), bytes.size());
-  std::snprintf(text.data(), text.size(), "%016llx", digest);
-  return text.data();
+  std::ostringstream text;
+  text << std::hex << std::setw(16) << std::setfill('0')
+       << XXH3_64bits(bytes.data(), bytes.size());
+  return text.str();
 }
 
 void PrintAnswer(const CoapResponse& response, bool is_fetch) {
--- a/tests/process/answers_test.cc
+++ b/tests/process/answers_test.cc
@@ -1,8 +1,10 @@
 #define BOOST_TEST_MODULE answers
 #include <xxhash.h>
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <cstdio>
+#include <iomanip>
+#include <sstream>
 #include <thread>
 
 #include "standins/upstream/documents.h"
@@ -27,11 +29,10 @@
   standin::Documents documents;
   documents.SetVersion(version);
   const auto document = documents.Get(path);
-  std::array<char, 17> text;
-  const unsigned long long digest =
-      XXH3_64bits(document->body.data(), document->body.size());
-  std::snprintf(text.data(), text.size(), "%016llx", digest);
-  return text.data();
+  std::ostringstream text;
+  text << std::hex << std::setw(16) << std::setfill('0')
+       << XXH3_64bits(document->body.data(), document->body.size());
+  return text.str();
 }
 
 /// Downloads of 1 MB, another document for each caller.
--- a/tests/process/isolation_test.cc
+++ b/tests/process/isolation_test.cc
@@ -1,5 +1,7 @@
 #define BOOST_TEST_MODULE isolation
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <sstream>
 #include <thread>
 
