--- a/packages/daemon/src/instance_pages.cc
+++ b/packages/daemon/src/instance_pages.cc
@@ -10,15 +10,16 @@
   HttpContent content;
   content.health = [&control] {
     if (control.ticket() != TicketNumber{}) return Health{true, "ok"};
-    return Health{false, control.store_reachable()
-                             ? "no ticket is in force"
-                             : "no ticket is known: the store is unreachable"};
+    return Health{false, std::string(control.NoTicketReason())};
   };
   content.ticket = [&settings, &control] {
     return nlohmann::json{{"instance", settings.instance},
                           {"data_center", settings.data_center},
                           {"ticket", Raw(control.ticket())},
-                          {"store_reachable", control.store_reachable()}}
+                          {"store_reachable", control.store_reachable()},
+                          {"watching", control.stats().watching.load()},
+                          {"depth", control.stats().depth.load()},
+                          {"streams", control.stats().links.load()}}
         .dump();
   };
   content.metrics = [&metrics] { return metrics.Text(); };
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -122,8 +122,7 @@
 }
 
 bool Sidecar::CanAdopt(TimePoint now) {
-  if (draining_ || now < refused_until_) return false;
-  if (IsFull()) return false;
+  if (!AdmitsWork() || IsFull()) return false;
   if (service_->service.protocol == ticket::Protocol::kDatagram) return true;
   return admission_.Judge(now) == flow::Verdict::kAdmit;
 }
@@ -132,7 +131,7 @@
 std::optional<flow::FlowSlot> Sidecar::Own(const FlowKey& key, TimePoint now) {
   auto slot = flows_.Find(key);
   if (slot && !flows_.At(*slot).guest) return slot;
-  if (draining_ || IsFull()) return std::nullopt;
+  if (!AdmitsWork() || IsFull()) return std::nullopt;
   if (!slot) return flows_.Insert(key, now);
   flows_.At(*slot).guest = false;
   flows_.At(*slot).adopted = now;
@@ -190,6 +189,7 @@
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
   header.ticket = view_->ticket();
+  header.service_time = ServiceTime();
   counters_->Add(Counter::kFramesForwarded);
   effects.frames.push_back({to.sidecar, header, frame.payload});
   if (contacts_.OnSent(to.id, now_)) SendProbe(to, effects);
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -28,6 +28,7 @@
       contacts_(options.silence),
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
+      members_(MakeRole(options)),
       requests_(options.request_capacity),
       counters_(std::make_unique<Counters>()),
       replies_(*counters_),
@@ -36,7 +37,9 @@
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
   const auto old_view = std::exchange(view_, std::move(view));
+  members_.OnView(view_, options_.id, options_.service, now);
   const auto* before = std::exchange(service_, view_->Find(options_.service));
   if (service_ == nullptr) return;
   const auto& service = service_->service;
@@ -77,6 +80,7 @@
   header.ticket = view_ == nullptr ? TicketNumber{} : view_->ticket();
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
+  header.service_time = ServiceTime();
   return header;
 }
 
@@ -108,11 +112,15 @@
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
   now_ = now;
+  members_.OnEvent(now);
   from_ = from;
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
   }
+  if (from != header.balancer) {
+    paces_.Learn(UpstreamId(header.sender), header.service_time);
+  }
   switch (header.kind) {
     case FrameKind::kCallerData:
       OnCallerData(frame, from, now, effects);
@@ -123,13 +131,13 @@
       return;
     case FrameKind::kProbeAck:
       contacts_.OnHeard(UpstreamId(header.sender));
+      OnMemberFrame(header, from, now, effects);
       return;
-    case FrameKind::kProbe: {
-      auto answer = MakeHeader(FrameKind::kProbeAck);
-      answer.sequence = header.sequence;
-      effects.frames.push_back({from, answer, {}});
+    case FrameKind::kProbe:
+    case FrameKind::kDeathQuery:
+    case FrameKind::kDeathAnswer:
+      OnMemberFrame(header, from, now, effects);
       return;
-    }
     case FrameKind::kHandover:
       OnHandover(frame, from, effects);
       return;
@@ -151,6 +159,8 @@
 void Sidecar::OnUpstreamDatagram(flow::FlowSlot slot, ByteView payload,
                                  TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
+  members_.upstream().OnAnswered(now);
   bool matters = false;
   if (!flows_.Holds(slot) || service_ == nullptr) return;
   if (service_->service.protocol == ticket::Protocol::kCoap) {
@@ -181,11 +191,14 @@
 
 void Sidecar::OnTick(TimePoint now, SidecarEffects& effects) {
   now_ = now;
+  members_.OnEvent(now);
   replies_.Expire(now, effects);
   ProbeSuspects(effects);
   RepeatNotifications(effects);
   HandOverFeeds(effects);
   if (service_ == nullptr) return;
+  members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
+                  now, effects);
   ExpireRuns(now, effects);
   ExpireRequests(now);
   ExpireGuests(now, effects);
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -74,6 +74,10 @@
                              request.token};
   switch (permits_.Begin(permit, id, now)) {
     case RunDecision::kRun:
+      if (members_.lease() != membership::LeaseState::kHeld) {
+        RefuseRun(slot, request, permit.number, effects);
+        return;
+      }
       Run(slot, request, permit, now, effects);
       return;
     case RunDecision::kInProgress:
@@ -93,6 +97,17 @@
   }
 }
 
+/// The permit is spent without a run: this incarnation may be superseded.
+void Sidecar::RefuseRun(flow::FlowSlot slot, const Message& request,
+                        permit::PermitNumber number, SidecarEffects& effects) {
+  counters_->Add(Counter::kNotRun);
+  LastReason<coap::CoapError> reason;
+  auto bytes =
+      coap::Encode(coap::MakeUnavailable(request, kRetryAfter), reason);
+  if (!bytes || !permits_.Finish(number, *bytes)) return;
+  Reply(slot, effects.scratch.Keep(std::move(*bytes)), effects);
+}
+
 void Sidecar::Run(flow::FlowSlot slot, Message& request, const Permit& permit,
                   TimePoint now, SidecarEffects& effects) {
   counters_->Add(Counter::kRuns);
@@ -124,7 +139,7 @@
 void Sidecar::Challenge(flow::FlowSlot slot, const Message& request,
                         TimePoint now, SidecarEffects& effects) {
   const auto expires = now + permit::PermitIssuer::kLifetime;
-  const bool room = !draining_ && now >= refused_until_ &&
+  const bool room = AdmitsWork() &&
                     admission_.Judge(now) != flow::Verdict::kShed &&
                     permits_.Reserve(now, expires);
   if (!room) {
--- a/tests/feed_test.cc
+++ b/tests/feed_test.cc
@@ -21,8 +21,9 @@
   }
   void Drain(std::uint32_t id) {
     network.members()[UpstreamId(id)].state = UpstreamState::kDraining;
-    network.WithSidecar(UpstreamId(id),
-                        [](auto& sidecar, auto&) { sidecar.StartDrain(); });
+    network.WithSidecar(UpstreamId(id), [](auto& sidecar, auto& effects) {
+      sidecar.StartDrain(effects);
+    });
     network.Publish();
   }
   /// Ends a drained sidecar that serves nothing any more.
