--- a/tests/process/drain_test.cc
+++ b/tests/process/drain_test.cc
@@ -25,6 +25,7 @@
 
 std::vector<std::string> UpstreamsOfNewGets(Deployment& deployment) {
   std::vector<Caller> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(
         deployment.StartCaller({"get", deployment.Vip(1), "/info"}));
--- a/tests/process/feed_survival_test.cc
+++ b/tests/process/feed_survival_test.cc
@@ -64,6 +64,15 @@
     std::this_thread::sleep_for(kFreeze);
     deployment.Continue(name);
     deployment.SetSprayed(id, true);
+    CheckServes(name);
+  }
+  /// A pause is no request to stop.
+  void CheckServes(const std::string& name) {
+    CheckFresh(name + " continued");
+    BOOST_TEST(deployment.Process(name).IsRunning());
+    const bool drains = deployment.Log(name).find("event=balancer_draining") !=
+                        std::string::npos;
+    BOOST_TEST(!drains, name << " drains after a pause");
   }
   void AddBalancer(int id) {
     const int ticket = deployment.TicketAt("balancer-2");
