Permit exploration: fold the ticket once

Cause: measuring a folded state formats YAML since the size bound came in; every world did it four times.

--- a/tests/support/permit_world.cc
+++ b/tests/support/permit_world.cc
@@ -39,6 +39,22 @@
 
 Bytes Copy(ByteView view) { return {view.begin(), view.end()}; }
 
+/// @return the only ticket, folded once for all worlds.
+const ticket::TicketState& Tickets() {
+  static const auto kState = [] {
+    ticket::Service service;
+    service.id = kService;
+    service.name = "custody";
+    service.address = kServiceAddress;
+    service.protocol = ticket::Protocol::kCoap;
+    ticket::Ticket ticket;
+    ticket.number = TicketNumber(1);
+    ticket.services = {service};
+    return ticket::TicketState::FromSnapshot(ticket);
+  }();
+  return kState;
+}
+
 }  // namespace
 
 PermitWorld::PermitWorld(const PermitScenario& scenario)
@@ -64,14 +80,6 @@
 }
 
 membership::ViewPtr PermitWorld::MakeView(bool with_first) const {
-  ticket::Ticket ticket;
-  ticket.number = TicketNumber(1);
-  ticket::Service service;
-  service.id = kService;
-  service.name = "custody";
-  service.address = kServiceAddress;
-  service.protocol = ticket::Protocol::kCoap;
-  ticket.services = {service};
   std::vector<Upstream> upstreams;
   for (std::size_t i = with_first ? 0 : 1; i < 2; ++i) {
     Upstream upstream;
@@ -81,8 +89,7 @@
     upstream.sidecar = SidecarAddress(i);
     upstreams.push_back(upstream);
   }
-  return std::make_shared<membership::View>(
-      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
+  return std::make_shared<membership::View>(1, Tickets(), std::move(upstreams));
 }
 
 void PermitWorld::StartSidecar(std::size_t index) {
