After a pause, act on no old ticket: drop until the control thread is informed

Cause: isolation_test AddressIsReusedWhileSomeAreStopped: a balancer and a sidecar stopped for a second and continued took datagrams that had queued for less than 500 ms under the old ticket, so a removed service answered 711 to 787 ms after the change was in force. Ruled out: a shorter queue limit alone (the first datagrams after the pause are fresh, the ticket is not).

--- a/packages/daemon/include/cowslip/daemon/balancer_loop.h
+++ b/packages/daemon/include/cowslip/daemon/balancer_loop.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "cowslip/daemon/daemon_error.h"
+#include "cowslip/daemon/pause_gate.h"
 #include "cowslip/daemon/poller.h"
 #include "cowslip/daemon/view_cell.h"
 #include "cowslip/engine.h"
@@ -57,6 +58,7 @@
   link::FrameCodec codec_;
   link::DatagramSocket frames_;
   Poller poller_;
+  PauseGate gate_{views_};
   std::map<Endpoint, Entry> entries_;
   std::map<std::uint64_t, const Entry*> entries_by_tag_;
   std::uint64_t next_tag_ = 1;
--- a/packages/daemon/include/cowslip/daemon/sidecar_loop.h
+++ b/packages/daemon/include/cowslip/daemon/sidecar_loop.h
@@ -7,6 +7,7 @@
 
 #include "cowslip/daemon/daemon_error.h"
 #include "cowslip/daemon/membership_thread.h"
+#include "cowslip/daemon/pause_gate.h"
 #include "cowslip/daemon/poller.h"
 #include "cowslip/daemon/view_cell.h"
 #include "cowslip/engine.h"
@@ -68,6 +69,7 @@
   link::FrameCodec codec_;
   link::DatagramSocket frames_;
   Poller poller_;
+  PauseGate gate_{views_};
   std::vector<std::optional<link::DatagramSocket>> upstreams_;
   std::optional<link::DatagramSocket> probe_socket_;
   link::ReceiveBatch receive_;
--- a/packages/daemon/include/cowslip/daemon/view_cell.h
+++ b/packages/daemon/include/cowslip/daemon/view_cell.h
@@ -31,8 +31,17 @@
     }
   }
   TicketNumber noticed_ticket() const { return TicketNumber(noticed_.load()); }
+  /// Notes that the control thread has taken in the news that had arrived by
+  /// this time, and has published what followed from it.
+  void NoteControlPass(TimePoint begun) {
+    control_pass_.store(begun.time_since_epoch().count());
+  }
+  TimePoint control_pass() const {
+    return TimePoint(Duration(control_pass_.load()));
+  }
 
  private:
+  std::atomic<Duration::rep> control_pass_{0};
   std::atomic<std::uint64_t> noticed_{0};
   std::atomic<std::uint64_t> epoch_{0};
   mutable std::mutex mutex_;
--- a/packages/daemon/src/balancer_loop.cc
+++ b/packages/daemon/src/balancer_loop.cc
@@ -97,6 +97,7 @@
 
 void BalancerLoop::Run() {
   while (!stopping_) {
+    gate_.BeginRound(std::chrono::steady_clock::now());
     AdoptView();
     if (drain_requested_.exchange(false)) {
       balancer_.StartDrain(effects_);
@@ -104,6 +105,7 @@
     }
     const auto ready = poller_.Wait(kPollInterval);
     const auto now = std::chrono::steady_clock::now();
+    gate_.OnWake(now);
     for (const auto tag : ready) {
       if (tag == kFramesTag) {
         ReadFrames(now);
@@ -123,7 +125,7 @@
     const auto datagram = receive_.At(i);
     LastReason<link::LinkError> reason;
     const auto frame = codec_.Decode(datagram.payload, reason);
-    if (!frame || datagram.queued > kMaxQueueTime) {
+    if (!gate_.open() || !frame || datagram.queued > kMaxQueueTime) {
       ++dropped_;
       continue;
     }
@@ -137,7 +139,8 @@
   const auto count = receive_.Receive(entry.socket, refused);
   for (std::size_t i = 0; i < count; ++i) {
     const auto datagram = receive_.At(i);
-    if (datagram.truncated || datagram.queued > kMaxQueueTime ||
+    if (!gate_.open() || datagram.truncated ||
+        datagram.queued > kMaxQueueTime ||
         datagram.payload.size() > link::kMaxPayloadBytes) {
       ++dropped_;
       continue;
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -84,6 +84,7 @@
 
 void ControlThread::Run() {
   while (!stopping_) {
+    const auto begun = std::chrono::steady_clock::now();
     relay_->Poll(mailbox_->fd(), kTick);
     HandleMail();
     const auto now = std::chrono::steady_clock::now();
@@ -91,6 +92,9 @@
                                    relay_->effects());
     relay_->node().OnTick(now, relay_->effects());
     CarryOut();
+    const bool informed = relay_->node().depth() < relay::kUnrooted ||
+                          relay_->node().link_count() > 0;
+    if (informed) views_.NoteControlPass(begun);
     UpdateStats();
     WarnWithoutTicket(now);
   }
--- a/packages/daemon/src/sidecar_loop.cc
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -85,6 +85,7 @@
 
 void SidecarLoop::Run() {
   while (!stopping_) {
+    gate_.BeginRound(std::chrono::steady_clock::now());
     AdoptView(std::chrono::steady_clock::now());
     if (drain_requested_.exchange(false)) {
       sidecar_.StartDrain(effects_);
@@ -92,6 +93,7 @@
     }
     const auto ready = poller_.Wait(kPollInterval);
     const auto now = std::chrono::steady_clock::now();
+    gate_.OnWake(now);
     for (const auto tag : ready) {
       if (tag == kFramesTag) {
         ReadFrames(now);
@@ -118,7 +120,7 @@
     const auto datagram = receive_.At(i);
     LastReason<link::LinkError> reason;
     const auto frame = codec_.Decode(datagram.payload, reason);
-    if (!frame || datagram.queued > kMaxQueueTime) {
+    if (!gate_.open() || !frame || datagram.queued > kMaxQueueTime) {
       ++dropped_;
       continue;
     }
