Redirects are sent three times, by time

The first announcement after an adoption or a change of the members is now sent three times, 20 ms apart, without waiting for a datagram; behind a redirect all hops but the last are told as well. A change of other services or of tickets no longer announces everything again.

Ruled out: acknowledged redirects (a frame kind and state per hop more, for the same end).

--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -11,6 +11,7 @@
 #include "cowslip/engine/engine_error.h"
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/redirect_repeats.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/run_table.h"
 #include "cowslip/engine/sidecar_effects.h"
@@ -134,6 +135,8 @@
                          const link::FrameHeader& header,
                          SidecarEffects& effects);
   void RefreshRedirects(flow::Flow& flow, SidecarEffects& effects);
+  void RepeatRedirects(SidecarEffects& effects);
+  void NoteMembers(const membership::ServiceView* before);
   void OnRedirect(const link::Frame& frame, const Endpoint& from,
                   SidecarEffects& effects);
   void Arbitrate(flow::FlowSlot slot, const link::Frame& frame,
@@ -206,8 +209,10 @@
   ReplyPath replies_;
   ObservationTable observations_;
   std::uint64_t last_handover_ = 0;
-  TimePoint now_{};  ///< Of the latest event.
-  Endpoint from_;    ///< Sender of the latest frame.
+  RedirectRepeats repeats_;
+  std::uint32_t members_epoch_ = 0;  ///< Rises when the members change.
+  TimePoint now_{};                  ///< Of the latest event.
+  Endpoint from_;                    ///< Sender of the latest frame.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -192,8 +192,8 @@
 void Sidecar::ProbeSuspects(SidecarEffects& effects) {
   if (service_ == nullptr) return;
   for (const auto id : contacts_.TakeDue(now_)) {
-    if (const auto* upstream = service_->Find(id))
-      SendProbe(*upstream, effects);
+    const auto* upstream = service_->Find(id);
+    if (upstream != nullptr) SendProbe(*upstream, effects);
   }
 }
 
@@ -202,8 +202,10 @@
   flows_.Touch(slot, now);
   auto& flow = flows_.At(slot);
   flow.balancer = frame.header.balancer;
-  if (!frame.header.visited.empty() &&
-      !frame.header.Has(link::kFlagByRedirect)) {
+  // Behind a redirect only the last hop is known to have one.
+  const auto& visited = frame.header.visited;
+  const auto asked = visited.ids().size() - visited.silent_count();
+  if (asked > (frame.header.Has(link::kFlagByRedirect) ? 1U : 0U)) {
     AnnounceOwnership(flow, frame.header, effects);
   }
   RefreshRedirects(flow, effects);
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -41,6 +41,7 @@
   members_.OnEvent(now);
   members_.OnView(view_, options_.id, options_.service, now);
   if (service_ == nullptr) return;
+  NoteMembers(before);
   ForgetRestarted(before);
   redirects_.SetLifetime(2 * IdleTimeout() + IdleTimeout() / 2);
   if (before == nullptr) return;
@@ -189,6 +190,7 @@
   RepeatNotifications(effects);
   HandOverFeeds(effects);
   if (service_ == nullptr) return;
+  RepeatRedirects(effects);
   members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
                   now, effects);
   ExpireRuns(now, effects);
--- a/packages/engine/src/sidecar_ownership.cc
+++ b/packages/engine/src/sidecar_ownership.cc
@@ -1,4 +1,6 @@
 // How the owner of a flow makes itself known to other sidecars.
+#include <algorithm>
+
 #include "cowslip/engine/sidecar.h"
 
 namespace cowslip::engine {
@@ -6,6 +8,20 @@
 
 /// Redirects are renewed this many times per idle timeout.
 constexpr int kRefreshesPerTimeout = 3;
+/// Redirects are not acknowledged: the first ones are sent several times.
+constexpr std::uint8_t kFirstAnnouncements = 3;
+constexpr std::chrono::milliseconds kAnnouncementInterval{20};
+
+/// @return whether both have the same ranking and the same sidecars.
+bool SameMembers(const membership::ServiceView& a,
+                 const membership::ServiceView& b) {
+  const auto same = [](const Upstream& left, const Upstream& right) {
+    return left.id == right.id && left.incarnation == right.incarnation &&
+           left.weight == right.weight && left.sidecar == right.sidecar;
+  };
+  return std::equal(a.upstreams.begin(), a.upstreams.end(), b.upstreams.begin(),
+                    b.upstreams.end(), same);
+}
 
 }  // namespace
 
@@ -47,17 +63,38 @@
   if (!told_last_hop) SendRedirect(flow, from_, effects);
 }
 
+void Sidecar::NoteMembers(const membership::ServiceView* before) {
+  if (before != nullptr && SameMembers(*before, *service_)) return;
+  ++members_epoch_;
+}
+
 void Sidecar::RefreshRedirects(flow::Flow& flow, SidecarEffects& effects) {
+  if (flow.announced_epoch != members_epoch_) {
+    flow.announced_epoch = members_epoch_;
+    flow.announcements = 0;
+  }
+  const bool first = flow.announcements < kFirstAnnouncements;
+  const Duration interval = first ? Duration(kAnnouncementInterval)
+                                  : IdleTimeout() / kRefreshesPerTimeout;
   const bool due =
-      flow.announced_epoch != view_->epoch() ||
-      now_ - flow.last_announced >= IdleTimeout() / kRefreshesPerTimeout;
+      flow.announcements == 0 || now_ - flow.last_announced >= interval;
   if (!due) return;
-  flow.announced_epoch = view_->epoch();
+  if (first) ++flow.announcements;
   flow.last_announced = now_;
+  bool displaced = false;
   for (const auto* upstream : RankedFor(flow.key)) {
     if (upstream->id == options_.id) break;
+    displaced = true;
     SendRedirect(flow, upstream->sidecar, effects);
   }
+  if (displaced && first) repeats_.Add(flow.key, now_ + kAnnouncementInterval);
+}
+
+void Sidecar::RepeatRedirects(SidecarEffects& effects) {
+  while (const auto key = repeats_.Take(now_)) {
+    const auto slot = flows_.Find(*key);
+    if (slot) RefreshRedirects(flows_.At(*slot), effects);
+  }
 }
 
 void Sidecar::OnRedirect(const Frame& frame, const Endpoint& from,
@@ -82,17 +119,16 @@
   if (draining_ && observations_.Has(slot)) return;
   const auto other = UpstreamId(header.sender);
   auto claim = MakeRedirect(flow);
-  if (header.Has(link::kFlagVerdict)) {
-    Yield(slot, frame, effects);
-  } else if (!flow::IsJudge(options_.id, other)) {
-    effects.frames.push_back({from, claim, {}});
-  } else if (flow::JudgeKeeps(now_ - flow.adopted,
-                              std::chrono::milliseconds(header.sequence))) {
-    claim.flags |= link::kFlagVerdict;
-    effects.frames.push_back({from, claim, {}});
-  } else {
+  const bool judge = flow::IsJudge(options_.id, other);
+  const bool loses =
+      judge && !flow::JudgeKeeps(now_ - flow.adopted,
+                                 std::chrono::milliseconds(header.sequence));
+  if (loses || header.Has(link::kFlagVerdict)) {
     Yield(slot, frame, effects);
+    return;
   }
+  if (judge) claim.flags |= link::kFlagVerdict;
+  effects.frames.push_back({from, claim, {}});
 }
 
 /// Leaves the flow to the sender. A permitted request that runs here ends
--- a/packages/flow/include/cowslip/flow/flow_table.h
+++ b/packages/flow/include/cowslip/flow/flow_table.h
@@ -20,7 +20,8 @@
   TimePoint adopted{};
   TimePoint last_active{};
   TimePoint last_announced{};         ///< When redirects were last sent.
-  std::uint64_t announced_epoch = 0;  ///< View under which they were sent.
+  std::uint32_t announced_epoch = 0;  ///< Members for which they were sent.
+  std::uint8_t announcements = 0;     ///< First ones sent for these members.
   /// Serves single requests for an owner elsewhere, and claims no ownership.
   bool guest = false;
 };
