--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -9,12 +9,17 @@
 #include "cowslip/coap.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/pace_table.h"
 #include "cowslip/engine/redirect_repeats.h"
 #include "cowslip/engine/reply_path.h"
+#include "cowslip/engine/request_table.h"
+#include "cowslip/engine/retry_budget.h"
 #include "cowslip/engine/run_table.h"
 #include "cowslip/engine/sidecar_effects.h"
+#include "cowslip/engine/transfer_table.h"
 #include "cowslip/flow.h"
 #include "cowslip/link.h"
 #include "cowslip/membership.h"
@@ -33,6 +38,7 @@
   permit::PermitKey permit_key{};  ///< Drawn at random for the incarnation.
   std::size_t permit_capacity = 100'000;
   std::size_t redirect_capacity = 200'000;
+  std::size_t request_capacity = 20'000;
   std::size_t observation_capacity = 100'000;
   Duration slow_start{};
   Duration clock_skew{std::chrono::seconds(1)};
@@ -90,7 +96,10 @@
   bool Owns(const FlowKey& key) const;
   std::size_t flow_count() const { return flows_.size(); }
   std::size_t known_balancers() const { return replies_.known_balancers(); }
-  std::size_t runs_in_progress() const { return runs_.size(); }
+  std::size_t runs_in_progress() const {
+    return runs_.size() + requests_.waiting();
+  }
+  const flow::Admission& admission() const { return admission_; }
   const Counters& counters() const { return *counters_; }
 
  private:
@@ -114,7 +123,8 @@
   bool ContinueWalk(const link::Frame& frame, TimePoint now,
                     SidecarEffects& effects);
   void Settle(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
-  bool CanAdopt(TimePoint now) const;
+  bool CanAdopt(TimePoint now);
+  bool IsFull() const;
   void Adopt(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void PassOn(const link::Frame& frame, TimePoint now, SidecarEffects& effects);
   void Forward(const link::Frame& frame, const Upstream& to,
@@ -123,6 +133,10 @@
   void ProbeSuspects(SidecarEffects& effects);
   void ServeOwned(flow::FlowSlot slot, const link::Frame& frame, TimePoint now,
                   SidecarEffects& effects);
+  void ServeGuest(const link::Frame& frame, TimePoint now,
+                  SidecarEffects& effects);
+  void ExpireGuests(TimePoint now, SidecarEffects& effects);
+  std::optional<flow::FlowSlot> Own(const FlowKey& key, TimePoint now);
   const Upstream* FirstToAdopt(const link::FrameHeader& header);
   void ExpireFlows(TimePoint now, SidecarEffects& effects);
   void EndFlow(flow::FlowSlot slot, SidecarEffects& effects);
@@ -171,16 +185,50 @@
                    const permit::Permit& permit, TimePoint now,
                    SidecarEffects& effects);
   void Run(flow::FlowSlot slot, coap::Message& request,
-           permit::PermitNumber number, TimePoint now, SidecarEffects& effects);
+           const permit::Permit& permit, TimePoint now,
+           SidecarEffects& effects);
   void RefuseRun(flow::FlowSlot slot, const coap::Message& request,
                  permit::PermitNumber number, SidecarEffects& effects);
   void Challenge(flow::FlowSlot slot, const coap::Message& request,
                  TimePoint now, SidecarEffects& effects);
+  void OnUnpermitted(flow::FlowSlot slot, const coap::Message& request,
+                     const link::Frame& frame, TimePoint now,
+                     SidecarEffects& effects);
   void FinishRun(const RunTable::Run& run, const coap::Message& outcome,
-                 SidecarEffects& effects);
+                 TimePoint now, SidecarEffects& effects);
   void ExpireRuns(TimePoint now, SidecarEffects& effects);
   void FailRuns(flow::FlowSlot slot, SidecarEffects& effects);
 
+  // Idempotent requests: sidecar_idempotent.cc.
+  void OnIdempotent(flow::FlowSlot slot, const coap::Message& request,
+                    const link::Frame& frame, TimePoint now,
+                    SidecarEffects& effects);
+  bool AdmitIdempotent(flow::FlowSlot slot, const coap::Message& request,
+                       bool busy, const link::Frame& frame, TimePoint now,
+                       SidecarEffects& effects);
+  bool MoveIdleFlow(flow::FlowSlot slot, const link::Frame& frame,
+                    TimePoint now, SidecarEffects& effects);
+  bool ExpectsResponse(flow::FlowSlot slot, const coap::Message& response,
+                       TimePoint now, std::optional<RunTable::Run>& run);
+  RequestAdded NoteRequest(flow::FlowSlot slot, const coap::Message& request,
+                           ByteView datagram);
+  void EndWork(const flow::Work& work, bool refused, TimePoint now);
+  void Retry(const RequestTable::Waiting& request, TimePoint now,
+             SidecarEffects& effects);
+  void ExpireRequests(TimePoint now);
+  void Refuse(flow::FlowSlot slot, const coap::Message& request,
+              SidecarEffects& effects);
+
+  // Load: sidecar_load.cc.
+  std::uint32_t ServiceTime() const;
+  bool IsFaster(UpstreamId upstream, UpstreamId than) const;
+  const Upstream* FastestUnvisited(const link::FrameHeader& header);
+  bool HasRoom(const link::Frame& frame, TimePoint now);
+  const Upstream* NextForWork(link::FrameHeader& header, bool guest,
+                              TimePoint now);
+  bool PassWork(const link::Frame& frame, std::uint8_t extra_flags,
+                TimePoint now, SidecarEffects& effects);
+
   // Frames: sidecar_frames.cc.
   void ForgetRestarted(const membership::ServiceView* before);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
@@ -204,6 +252,13 @@
   permit::PermitTable permits_;
   RunTable runs_;
   MemberRole members_;
+  RequestTable requests_;
+  TransferTable transfers_;
+  GuestList guests_;
+  PaceTable paces_;
+  std::size_t guest_count_ = 0;
+  RetryBudget retries_;
+  TimePoint refused_until_{};  ///< The upstream is taken for dead until then.
   bool draining_ = false;
   std::unique_ptr<Counters> counters_;
   ReplyPath replies_;
--- a/packages/engine/src/sidecar_feeds.cc
+++ b/packages/engine/src/sidecar_feeds.cc
@@ -49,7 +49,8 @@
   if (message.Find(OptionNumber::kObserve) != nullptr) {
     // A feed lives as long as its upstream finds the caller alive.
     flows_.Touch(slot, now_);
-    RefreshRedirects(flows_.At(slot), effects);
+    auto& flow = flows_.At(slot);
+    if (!flow.guest) RefreshRedirects(flow, effects);
   }
   auto* feed = observations_.Find(slot);
   if (feed == nullptr) return true;
@@ -92,11 +93,9 @@
   LastReason<coap::CoapError> reason;
   auto request = coap::Parse(frame.payload, reason);
   if (!request) return;
-  auto slot = flows_.Find(header.flow);
-  if (!slot && flows_.size() < service_->service.max_flows) {
-    slot = flows_.Insert(header.flow, now_);
-    if (slot) flows_.At(*slot).balancer = header.balancer;
-  }
+  const bool known = Owns(header.flow);
+  const auto slot = Own(header.flow, now_);
+  if (slot && !known) flows_.At(*slot).balancer = header.balancer;
   auto* observation = slot ? observations_.TakeOver(*slot, *request) : nullptr;
   if (observation == nullptr) {
     counters_->Add(Counter::kFlowsRefused);
@@ -114,6 +113,7 @@
   request->SetUint(OptionNumber::kObserve, kRegister);
   auto bytes = coap::Encode(*request, reason);
   if (!bytes) return;
+  NoteRequest(*slot, *request, *bytes);
   effects.datagrams.push_back({*slot, effects.scratch.Keep(std::move(*bytes))});
 }
 
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -27,8 +27,10 @@
   }
   counters_->Add(Counter::kCallerDatagrams);
   const auto slot = flows_.Find(frame.header.flow);
-  if (slot) {
+  if (slot && !flows_.At(*slot).guest) {
     ServeOwned(*slot, frame, now, effects);
+  } else if (frame.header.Has(link::kFlagGuest)) {
+    ServeGuest(frame, now, effects);
   } else {
     OnUnknownFlow(frame, now, effects);
   }
@@ -119,20 +121,28 @@
   }
 }
 
-bool Sidecar::CanAdopt(TimePoint now) const {
-  if (!AdmitsWork() || flows_.size() >= service_->service.max_flows) {
-    return false;
-  }
+bool Sidecar::CanAdopt(TimePoint now) {
+  if (!AdmitsWork() || IsFull()) return false;
   if (service_->service.protocol == ticket::Protocol::kDatagram) return true;
   return admission_.Judge(now) == flow::Verdict::kAdmit;
 }
 
+/// Makes this upstream the owner of a flow, if there is room for it.
+std::optional<flow::FlowSlot> Sidecar::Own(const FlowKey& key, TimePoint now) {
+  auto slot = flows_.Find(key);
+  if (slot && !flows_.At(*slot).guest) return slot;
+  if (!AdmitsWork() || IsFull()) return std::nullopt;
+  if (!slot) return flows_.Insert(key, now);
+  flows_.At(*slot).guest = false;
+  flows_.At(*slot).adopted = now;
+  --guest_count_;
+  return slot;
+}
+
 void Sidecar::Adopt(const Frame& frame, TimePoint now,
                     SidecarEffects& effects) {
   const auto& header = frame.header;
-  const bool full = flows_.size() >= service_->service.max_flows;
-  const auto slot =
-      full || !AdmitsWork() ? std::nullopt : flows_.Insert(header.flow, now);
+  const auto slot = Own(header.flow, now);
   if (!slot) {
     counters_->Add(Counter::kFlowsRefused);
     return;
@@ -145,26 +155,26 @@
 
 void Sidecar::PassOn(const Frame& frame, TimePoint now,
                      SidecarEffects& effects) {
-  auto passed = frame;
-  // Those that were asked who owns the flow were not asked to take it.
-  if (!frame.header.Has(link::kFlagPassedOn)) {
-    passed.header.visited.ForgetVisited();
-  }
-  const auto& visited = passed.header.visited;
-  for (const auto* upstream : RankedFor(frame.header.flow)) {
-    if (visited.full()) break;
-    if (upstream->id == options_.id || visited.Contains(upstream->id)) continue;
-    if (upstream->state != UpstreamState::kActive) continue;
-    if (contacts_.IsSilent(upstream->id)) continue;
-    if (members_.Avoids(upstream->id, now)) continue;
+  if (PassWork(frame, link::kFlagWalkDone, now, effects)) {
     counters_->Add(Counter::kFlowsPassedOn);
-    redirects_.Learn(frame.header.flow, upstream->id, upstream->incarnation,
-                     now);
-    Forward(passed, *upstream, link::kFlagPassedOn | link::kFlagWalkDone,
-            effects);
+  } else {
+    Adopt(frame, now, effects);
+  }
+}
+
+void Sidecar::ServeGuest(const Frame& frame, TimePoint now,
+                         SidecarEffects& effects) {
+  auto slot = flows_.Find(frame.header.flow);
+  if (!slot) slot = flows_.Insert(frame.header.flow, now);
+  if (!slot) {
+    counters_->Add(Counter::kFlowsRefused);
     return;
   }
-  Adopt(frame, now, effects);
+  auto& flow = flows_.At(*slot);
+  if (!flow.guest) ++guest_count_;
+  flow.guest = true;
+  guests_.Add(*slot, flow.key, now);
+  ServeOwned(*slot, frame, now, effects);
 }
 
 void Sidecar::Forward(const Frame& frame, const Upstream& to,
@@ -179,6 +189,7 @@
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
   header.ticket = view_->ticket();
+  header.service_time = ServiceTime();
   counters_->Add(Counter::kFramesForwarded);
   effects.frames.push_back({to.sidecar, header, frame.payload});
   if (contacts_.OnSent(to.id, now_)) SendProbe(to, effects);
@@ -205,10 +216,11 @@
   // Behind a redirect only the last hop is known to have one.
   const auto& visited = frame.header.visited;
   const auto asked = visited.ids().size() - visited.silent_count();
-  if (asked > (frame.header.Has(link::kFlagByRedirect) ? 1U : 0U)) {
-    AnnounceOwnership(flow, frame.header, effects);
-  }
-  RefreshRedirects(flow, effects);
+  const bool searched =
+      asked > (frame.header.Has(link::kFlagByRedirect) ? 1U : 0U) &&
+      !frame.header.Has(link::kFlagGuest);
+  if (searched) AnnounceOwnership(flow, frame.header, effects);
+  if (!flow.guest) RefreshRedirects(flow, effects);
   if (service_->service.protocol == ticket::Protocol::kCoap) {
     if (TrackCallerMessage(slot, frame.payload, effects)) return;
     OnCallerMessage(slot, frame.payload, frame, now, effects);
@@ -217,6 +229,20 @@
   }
 }
 
+bool Sidecar::IsFull() const {
+  return flows_.size() - guest_count_ >= service_->service.max_flows;
+}
+
+void Sidecar::ExpireGuests(TimePoint now, SidecarEffects& effects) {
+  while (const auto guest = guests_.TakeIdle(flows_, now)) {
+    if (runs_.Has(*guest)) {
+      guests_.Add(*guest, flows_.At(*guest).key, now);
+    } else {
+      EndFlow(*guest, effects);
+    }
+  }
+}
+
 void Sidecar::ExpireFlows(TimePoint now, SidecarEffects& effects) {
   while (const auto oldest = flows_.Oldest()) {
     if (now - flows_.At(*oldest).last_active < IdleTimeout()) return;
@@ -227,6 +253,12 @@
 
 void Sidecar::EndFlow(flow::FlowSlot slot, SidecarEffects& effects) {
   FailRuns(slot, effects);
+  for (const auto& request : requests_.TakeAll(slot)) {
+    (void)request;
+    admission_.OnAbandoned(now_);
+  }
+  transfers_.Forget(slot);
+  if (flows_.At(slot).guest) --guest_count_;
   observations_.Erase(slot);
   flows_.Erase(slot);
   effects.closes.push_back({slot});
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -29,6 +29,7 @@
       issuer_(options.id, options.incarnation, options.permit_key),
       permits_(options.permit_capacity),
       members_(MakeRole(options)),
+      requests_(options.request_capacity),
       counters_(std::make_unique<Counters>()),
       replies_(*counters_),
       observations_(options.observation_capacity) {}
@@ -36,12 +37,15 @@
 void Sidecar::OnView(membership::ViewPtr view, TimePoint now,
                      SidecarEffects& effects) {
   now_ = now;
-  const auto old_view = std::exchange(view_, std::move(view));
-  const auto* before = std::exchange(service_, view_->Find(options_.service));
   members_.OnEvent(now);
+  const auto old_view = std::exchange(view_, std::move(view));
   members_.OnView(view_, options_.id, options_.service, now);
+  const auto* before = std::exchange(service_, view_->Find(options_.service));
   if (service_ == nullptr) return;
   NoteMembers(before);
+  const auto& service = service_->service;
+  const bool balance = service.prefer == ticket::Preference::kBalance;
+  admission_.SetQueue(service.max_queue, balance ? 0 : options_.slots);
   ForgetRestarted(before);
   redirects_.SetLifetime(2 * IdleTimeout() + IdleTimeout() / 2);
   if (before == nullptr) return;
@@ -77,6 +81,7 @@
   header.ticket = view_ == nullptr ? TicketNumber{} : view_->ticket();
   header.sender = Raw(options_.id);
   header.incarnation = options_.incarnation;
+  header.service_time = ServiceTime();
   return header;
 }
 
@@ -108,12 +113,15 @@
                       TimePoint now, SidecarEffects& effects) {
   const auto& header = frame.header;
   now_ = now;
-  from_ = from;
   members_.OnEvent(now);
+  from_ = from;
   replies_.OnFrame(header, from, now);
   if (view_ == nullptr || header.ticket > view_->ticket()) {
     effects.fetches.push_back({header.ticket, from});
   }
+  if (from != header.balancer) {
+    paces_.Learn(UpstreamId(header.sender), header.service_time);
+  }
   switch (header.kind) {
     case FrameKind::kCallerData:
       OnCallerData(frame, from, now, effects);
@@ -122,13 +130,13 @@
       contacts_.OnHeard(UpstreamId(header.sender));
       OnRedirect(frame, from, effects);
       return;
-    case FrameKind::kProbe:
     case FrameKind::kProbeAck:
+      contacts_.OnHeard(UpstreamId(header.sender));
+      OnMemberFrame(header, from, now, effects);
+      return;
+    case FrameKind::kProbe:
     case FrameKind::kDeathQuery:
     case FrameKind::kDeathAnswer:
-      if (header.kind == FrameKind::kProbeAck) {
-        contacts_.OnHeard(UpstreamId(header.sender));
-      }
       OnMemberFrame(header, from, now, effects);
       return;
     case FrameKind::kHandover:
@@ -163,16 +171,16 @@
       counters_->Add(Counter::kDropMalformed);
       return;
     }
-    if (!TrackUpstreamMessage(slot, *message, effects)) return;
+    std::optional<RunTable::Run> run;
+    const bool expected =
+        !message->IsResponse() || ExpectsResponse(slot, *message, now, run);
+    if (!expected || !TrackUpstreamMessage(slot, *message, effects)) return;
+    if (run) {
+      FinishRun(*run, *message, now, effects);
+      return;
+    }
     matters = message->type == coap::Type::kCon ||
               message->Find(coap::OptionNumber::kObserve) != nullptr;
-    if (message->IsResponse()) {
-      const auto run = runs_.Take(slot, message->token);
-      if (run) {
-        FinishRun(*run, *message, effects);
-        return;
-      }
-    }
     if (observations_.Has(slot)) {
       auto bytes = coap::Encode(*message, reason);
       if (!bytes) return;
@@ -194,6 +202,8 @@
   members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
                   now, effects);
   ExpireRuns(now, effects);
+  ExpireRequests(now);
+  ExpireGuests(now, effects);
   ExpireFlows(now, effects);
   redirects_.Expire(now);
   permits_.Expire(now);
--- a/packages/engine/src/sidecar_ownership.cc
+++ b/packages/engine/src/sidecar_ownership.cc
@@ -93,7 +93,8 @@
 void Sidecar::RepeatRedirects(SidecarEffects& effects) {
   while (const auto key = repeats_.Take(now_)) {
     const auto slot = flows_.Find(*key);
-    if (slot) RefreshRedirects(flows_.At(*slot), effects);
+    if (!slot || flows_.At(*slot).guest) continue;
+    RefreshRedirects(flows_.At(*slot), effects);
   }
 }
 
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -91,6 +91,9 @@
   void ReviewParents(TimePoint now, Effects& effects);
   void ReviewNotice(TimePoint now, Effects& effects);
   bool ShouldWatch(TimePoint now);
+  void ReviewPlace(TimePoint now, Effects& effects);
+  std::vector<Endpoint> Preferred() const;
+  void OpenTo(const Endpoint& control, Effects& effects);
   void DropSurplus(TimePoint now, Effects& effects);
   Depth DepthWithout(std::optional<LinkId> excluded) const;
   std::size_t outgoing() const;
@@ -106,6 +109,7 @@
   ItemTable items_;
   std::map<std::string, Peer> peers_;    ///< From instance records, by key.
   std::map<std::string, Peer> hearsay_;  ///< Named by others, by instance.
+  std::optional<std::size_t> position_;  ///< Among them, until they change.
   std::map<LinkId, Link> links_;
   std::uint64_t next_link_ = 1;
   bool watching_ = false;
@@ -115,6 +119,7 @@
   std::size_t attempt_ = 0;
   Duration retry_;
   TimePoint next_attempt_;
+  TimePoint next_move_;
   TimePoint linked_at_;  ///< Last instant with a stream or the store.
   TimePoint rooted_at_;  ///< Last instant with a way to the store.
   Duration lonely_patience_;
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -9,10 +9,12 @@
       random_(options.seed),
       retry_(options.min_retry),
       next_attempt_(now),
+      next_move_(now),
       linked_at_(now),
       rooted_at_(now),
       notice_review_(now) {
   lonely_patience_ = Jitter(options_.patience);
+  std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
 }
 
 Duration Node::Jitter(Duration base) {
@@ -61,6 +63,7 @@
 
 void Node::OnPeersRead(const std::vector<Peer>& peers) {
   peers_known_ = true;
+  position_.reset();
   for (const auto& peer : peers) hearsay_[peer.instance] = peer;
 }
 
@@ -114,6 +117,7 @@
   ReviewLinks(now, effects);
   ReviewWatch(now, effects);
   ReviewParents(now, effects);
+  ReviewPlace(now, effects);
   ReviewNotice(now, effects);
 }
 
--- a/tests/balancer_test.cc
+++ b/tests/balancer_test.cc
@@ -51,23 +51,27 @@
   return std::nullopt;
 }
 
-/// Lets the balancer send its probes.
-void Tick(Balancer& balancer, TimePoint from, TimePoint until) {
+/// Ticks as a daemon does, without any answer. @return the end of the time.
+TimePoint Tick(Balancer& balancer, TimePoint from, milliseconds time) {
+  constexpr milliseconds kTick{10};
   BalancerEffects effects;
-  for (auto now = from; now < until; now += milliseconds(10)) {
+  for (auto now = from; now < from + time; now += kTick) {
     balancer.OnTick(now, effects);
+    effects.Clear();
   }
+  return from + time;
 }
 
 BOOST_AUTO_TEST_CASE(SilentUpstreamIsSkippedAfterUnansweredProbes) {
   auto balancer = MakeBalancer(2);
   const auto first = Send(balancer, kStart);
   BOOST_REQUIRE(first);
-  Send(balancer, kStart + milliseconds(150));
-  Tick(balancer, kStart + milliseconds(150), kStart + milliseconds(500));
-  BOOST_TEST((Send(balancer, kStart + milliseconds(500)) == first));
-  Tick(balancer, kStart + milliseconds(500), kStart + milliseconds(600));
-  const auto later = Send(balancer, kStart + milliseconds(600));
+  auto now = kStart + milliseconds(150);
+  BOOST_TEST((Send(balancer, now) == first));
+  now = Tick(balancer, now, milliseconds(200));
+  BOOST_TEST((Send(balancer, now) == first));
+  now = Tick(balancer, now, milliseconds(250));
+  const auto later = Send(balancer, now);
   BOOST_REQUIRE(later);
   BOOST_TEST((*later != *first));
 }
@@ -76,8 +80,9 @@
   auto balancer = MakeBalancer(1);
   Send(balancer, kStart);
   Send(balancer, kStart + milliseconds(150));
-  Tick(balancer, kStart + milliseconds(150), kStart + milliseconds(2000));
-  BOOST_TEST(Send(balancer, kStart + milliseconds(2000)).has_value());
+  const auto now =
+      Tick(balancer, kStart + milliseconds(150), milliseconds(2000));
+  BOOST_TEST(Send(balancer, now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(ReplyForAnotherServiceIsDropped) {
--- a/tests/permit_exploration_test.cc
+++ b/tests/permit_exploration_test.cc
@@ -3,9 +3,9 @@
 #include <string>
 #include <vector>
 
-#include "tests/support/permit_world.h"
+#include "support/permit_world.h"
 
-namespace cowslip::test {
+namespace cowslip::testing {
 namespace {
 
 constexpr int kMaxFaults = 3;
@@ -117,4 +117,4 @@
 }
 
 }  // namespace
-}  // namespace cowslip::test
+}  // namespace cowslip::testing
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -110,10 +110,14 @@
                                      const std::string& http,
                                      const std::string& control,
                                      const std::string& section) {
+  std::string peers = "peers: [";
+  for (int id = 1; id <= options_.peers; ++id) {
+    peers += "\"" + site_.BalancerControl(id) + "\", ";
+  }
   WriteFile(
       directory_.File(name + ".yaml"),
       DaemonSettingsText(site_, name, http, control, options_.drain_timeout) +
-          section);
+          peers + "]\n" + section);
 }
 
 void Deployment::StartBalancer(int id) {
@@ -149,12 +153,18 @@
                  options_.upstream_arguments.end());
   Run(upstream, command);
   upstreams_.push_back(upstream);
-  const auto name = "sidecar-" + text;
+  StartSidecar("sidecar-" + text, service, id, id);
+}
+
+void Deployment::StartSidecar(const std::string& name,
+                              const ServiceOptions& service, int id,
+                              int place) {
   WriteDaemonSettings(
-      name, site_.SidecarHttp(id), site_.SidecarControl(id),
-      "sidecar: {id: " + text + ", service: " + std::to_string(service.id) +
-          ", frames: " + site_.SidecarFrames(id) +
-          ", upstream: " + site_.Upstream(id) + ", slots: " + slots + "}\n");
+      name, site_.SidecarHttp(place), site_.SidecarControl(place),
+      "sidecar: {id: " + std::to_string(id) +
+          ", service: " + std::to_string(service.id) + ", frames: " +
+          site_.SidecarFrames(place) + ", upstream: " + site_.Upstream(id) +
+          ", slots: " + std::to_string(options_.slots) + "}\n");
   Run(name, {Program("cowslipd"), "sidecar", "--settings",
              directory_.File(name + ".yaml")});
 }
@@ -178,10 +188,11 @@
 }
 
 int Deployment::SubmitTicket(int number,
-                             const std::vector<ServiceOptions>& services) {
+                             const std::vector<ServiceOptions>& services,
+                             const std::vector<int>& removed) {
   const auto file =
       directory_.File("ticket-" + std::to_string(number) + ".yaml");
-  WriteFile(file, TicketText(site_, number, services));
+  WriteFile(file, TicketText(site_, number, services, removed));
   return RunCtl({"ticket", "submit", file});
 }
 
--- a/tests/support/permit_world.cc
+++ b/tests/support/permit_world.cc
@@ -1,6 +1,6 @@
-#include "tests/support/permit_world.h"
+#include "support/permit_world.h"
 
-namespace cowslip::test {
+namespace cowslip::testing {
 namespace {
 
 using coap::Code;
@@ -324,4 +324,4 @@
   }
 }
 
-}  // namespace cowslip::test
+}  // namespace cowslip::testing
