--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -13,6 +13,7 @@
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
 #include "cowslip/engine/pace_table.h"
+#include "cowslip/engine/redirect_repeats.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
 #include "cowslip/engine/retry_budget.h"
@@ -148,6 +149,8 @@
                          const link::FrameHeader& header,
                          SidecarEffects& effects);
   void RefreshRedirects(flow::Flow& flow, SidecarEffects& effects);
+  void RepeatRedirects(SidecarEffects& effects);
+  void NoteMembers(const membership::ServiceView* before);
   void OnRedirect(const link::Frame& frame, const Endpoint& from,
                   SidecarEffects& effects);
   void Arbitrate(flow::FlowSlot slot, const link::Frame& frame,
@@ -261,8 +264,10 @@
   ReplyPath replies_;
   ObservationTable observations_;
   std::uint64_t last_handover_ = 0;
-  TimePoint now_{};  ///< Of the latest event.
-  Endpoint from_;    ///< Sender of the latest frame.
+  RedirectRepeats repeats_;
+  std::uint32_t members_epoch_ = 0;  ///< Rises when the members change.
+  TimePoint now_{};                  ///< Of the latest event.
+  Endpoint from_;                    ///< Sender of the latest frame.
 };
 
 }  // namespace cowslip::engine
--- a/packages/engine/src/sidecar_feeds.cc
+++ b/packages/engine/src/sidecar_feeds.cc
@@ -49,7 +49,8 @@
   if (message.Find(OptionNumber::kObserve) != nullptr) {
     // A feed lives as long as its upstream finds the caller alive.
     flows_.Touch(slot, now_);
-    RefreshRedirects(flows_.At(slot), effects);
+    auto& flow = flows_.At(slot);
+    if (!flow.guest) RefreshRedirects(flow, effects);
   }
   auto* feed = observations_.Find(slot);
   if (feed == nullptr) return true;
--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -203,8 +203,8 @@
 void Sidecar::ProbeSuspects(SidecarEffects& effects) {
   if (service_ == nullptr) return;
   for (const auto id : contacts_.TakeDue(now_)) {
-    if (const auto* upstream = service_->Find(id))
-      SendProbe(*upstream, effects);
+    const auto* upstream = service_->Find(id);
+    if (upstream != nullptr) SendProbe(*upstream, effects);
   }
 }
 
@@ -213,9 +213,12 @@
   flows_.Touch(slot, now);
   auto& flow = flows_.At(slot);
   flow.balancer = frame.header.balancer;
-  const bool searched = !frame.header.visited.empty() &&
-                        !frame.header.Has(link::kFlagByRedirect) &&
-                        !frame.header.Has(link::kFlagGuest);
+  // Behind a redirect only the last hop is known to have one.
+  const auto& visited = frame.header.visited;
+  const auto asked = visited.ids().size() - visited.silent_count();
+  const bool searched =
+      asked > (frame.header.Has(link::kFlagByRedirect) ? 1U : 0U) &&
+      !frame.header.Has(link::kFlagGuest);
   if (searched) AnnounceOwnership(flow, frame.header, effects);
   if (!flow.guest) RefreshRedirects(flow, effects);
   if (service_->service.protocol == ticket::Protocol::kCoap) {
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -42,6 +42,7 @@
   members_.OnView(view_, options_.id, options_.service, now);
   const auto* before = std::exchange(service_, view_->Find(options_.service));
   if (service_ == nullptr) return;
+  NoteMembers(before);
   const auto& service = service_->service;
   const bool balance = service.prefer == ticket::Preference::kBalance;
   admission_.SetQueue(service.max_queue, balance ? 0 : options_.slots);
@@ -197,6 +198,7 @@
   RepeatNotifications(effects);
   HandOverFeeds(effects);
   if (service_ == nullptr) return;
+  RepeatRedirects(effects);
   members_.OnTick(MakeHeader(FrameKind::kProbe), service_->service.protocol,
                   now, effects);
   ExpireRuns(now, effects);
