Walks among more than eight young upstreams end in an adoption

Cause: a service with 12 upstreams started together gave no answer at all: the ninth upstream of a walk found the visited list full, and Forward() dropped the frame that should have gone back to the first one. Ruled out: admission and slow start (no flow was refused). Before: walk_test NewFlowsAreAdoptedWhenAllUpstreamsAreYoung 0 of 50 flows. After: 50 of 50, hops within the bound; the other three cases pass.

--- a/packages/engine/src/sidecar_flows.cc
+++ b/packages/engine/src/sidecar_flows.cc
@@ -180,7 +180,11 @@
 void Sidecar::Forward(const Frame& frame, const Upstream& to,
                       std::uint8_t extra_flags, SidecarEffects& effects) {
   auto header = frame.header;
-  if (!header.visited.Add(options_.id)) {
+  // The end of a walk goes back to an upstream that was asked, once; it needs
+  // no place in the list.
+  const bool ends_walk = (extra_flags & link::kFlagWalkDone) != 0 &&
+                         !header.Has(link::kFlagWalkDone);
+  if (!header.visited.Add(options_.id) && !ends_walk) {
     counters_->Add(Counter::kDropHopLimit);
     return;
   }
--- a/tests/walk_test.cc
+++ b/tests/walk_test.cc
@@ -56,5 +56,19 @@
   BOOST_TEST(world.frames_of_new_flows == options.flows);
 }
 
+/// A service whose upstreams are all young, more of them than a frame can list.
+BOOST_AUTO_TEST_CASE(NewFlowsAreAdoptedWhenAllUpstreamsAreYoung) {
+  WalkOptions options;
+  options.upstreams = 12;
+  options.flows = 50;
+  WalkWorld world(8, options);
+  for (std::uint32_t id = 1; id <= options.upstreams; ++id) world.Restart(id);
+  world.network.RunFor(std::chrono::seconds(1));
+  world.StartFlows();
+  world.network.RunFor(WalkWorld::kIdleTimeout);
+  BOOST_TEST(world.new_flows == options.flows);
+  BOOST_TEST(world.most_hops <= WalkWorld::kMaxHops);
+}
+
 }  // namespace
 }  // namespace cowslip::testing
