--- a/standins/upstream/coap_service.cc
+++ b/standins/upstream/coap_service.cc
@@ -147,6 +147,7 @@
   auto& service = ServiceOf(resource);
   const auto claim_id = Payload(request);
   if (auto* complete = coap_find_async(session, coap_pdu_get_token(request))) {
+    if (service.runs_.NoteDuplicate(complete, claim_id)) return;
     // libcoap frees the entry when this handler returns.
     service.runs_.Complete(complete);
     Answer(response, COAP_RESPONSE_CODE_CHANGED, "done " + claim_id);
--- a/standins/upstream/run_queue.cc
+++ b/standins/upstream/run_queue.cc
@@ -10,6 +10,17 @@
   StartNext();
 }
 
+bool RunQueue::NoteDuplicate(coap_async_t* request,
+                             const std::string& claim_id) {
+  const auto now = std::chrono::steady_clock::now();
+  const auto run = in_progress_.find(request);
+  const bool is_due = run != in_progress_.end() &&
+                      now - run->second >= options_.service_time / 2;
+  if (is_due) return false;
+  journal_.Append(claim_id, now);
+  return true;
+}
+
 void RunQueue::Complete(coap_async_t* request) {
   in_progress_.erase(request);
   StartNext();
@@ -21,12 +32,12 @@
   while (!queued_.empty() && in_progress_.size() < options_.slots) {
     const auto run = std::move(queued_.front());
     queued_.pop_front();
-    const bool is_written =
-        journal_.Append(run.claim_id, std::chrono::steady_clock::now());
+    const auto now = std::chrono::steady_clock::now();
+    const bool is_written = journal_.Append(run.claim_id, now);
     if (!is_written) {
       std::cerr << "event=journal_failed claim=" << run.claim_id << std::endl;
     }
-    in_progress_[run.request] = run.claim_id;
+    in_progress_[run.request] = now;
     // A delay of 0 would wait for ever.
     coap_async_set_delay(run.request, std::max<coap_tick_t>(ticks, 1));
   }
--- a/standins/upstream/run_queue.h
+++ b/standins/upstream/run_queue.h
@@ -24,6 +24,9 @@
   /// Takes over a request; its handler is called again once the run is
   /// complete.
   void Add(coap_async_t* request, const std::string& claim_id);
+  /// Journals a request that came again before its run is half over.
+  /// @return false if the handler was called because the run is complete.
+  bool NoteDuplicate(coap_async_t* request, const std::string& claim_id);
   /// Ends the run of a request and starts the next one.
   void Complete(coap_async_t* request);
 
@@ -41,7 +44,8 @@
   const UpstreamOptions& options_;
   const Journal& journal_;
   LoadReport& report_;
-  std::map<coap_async_t*, std::string> in_progress_;
+  /// Starts of the runs.
+  std::map<coap_async_t*, TimePoint> in_progress_;
   std::deque<QueuedRun> queued_;
 };
 
