--- a/benchmarks/control_benchmark.cc
+++ b/benchmarks/control_benchmark.cc
@@ -52,7 +52,7 @@
   LastReason<ticket::TicketError> reason;
   log.Apply(ToText(MakeTicket(1, 1, services)), reason);
   std::uint64_t number = 2;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     log.Apply(ToText(MakeTicket(number++, 1, 1)), reason);
   }
   if (!reason.ok()) state.SkipWithError("refused");
@@ -73,7 +73,7 @@
   auto view = control.BuildView(log.state());
   state.counters["bytes_per_member"] =
       static_cast<double>(mallinfo2().uordblks - before) / members;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     ++items.begin()->second.index;
     control.TakeItems(items, {}, TimePoint{});
     view = control.BuildView(log.state());
@@ -87,7 +87,7 @@
 /// One announcement for one stream.
 void EncodeAndDecodeItem(benchmark::State& state) {
   const auto item = MakeItems(1, 1).begin()->second;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     LastReason<relay::RelayError> reason;
     const auto line = relay::EncodeMessage(item);
     benchmark::DoNotOptimize(relay::DecodeMessage(
@@ -104,7 +104,7 @@
       ticket::TicketState::FromSnapshot(MakeTicket(9, 1, services));
   const relay::TicketText text{TicketNumber{9}, true,
                                ticket::FormatTicket(whole.Snapshot())};
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     relay::TicketLog log;
     benchmark::DoNotOptimize(log.Apply(text, reason));
   }
