Hold back the acknowledgement of a permitted run

Ruled out: death detection (with three upstreams it took under 10 s). Test: requests_test AcknowledgementOfARunIsHeldBack failed before.

--- a/packages/engine/include/cowslip/engine/run_table.h
+++ b/packages/engine/include/cowslip/engine/run_table.h
@@ -27,6 +27,8 @@
   bool Contains(flow::FlowSlot slot, const Bytes& token) const {
     return runs_.contains({slot, token});
   }
+  /// @return whether the request with this message id is running.
+  bool IsRunning(flow::FlowSlot slot, std::uint16_t message_id) const;
   /// Removes and returns the run that a response with this token answers.
   std::optional<Run> Take(flow::FlowSlot slot, const Bytes& token);
   std::vector<Run> TakeOverdue(TimePoint now);
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -194,6 +194,7 @@
   void OnUnpermitted(flow::FlowSlot slot, const coap::Message& request,
                      const link::Frame& frame, TimePoint now,
                      SidecarEffects& effects);
+  bool HoldsBack(flow::FlowSlot slot, const coap::Message& message) const;
   void FinishRun(const RunTable::Run& run, const coap::Message& outcome,
                  TimePoint now, SidecarEffects& effects);
   void ExpireRuns(TimePoint now, SidecarEffects& effects);
--- a/packages/engine/src/run_table.cc
+++ b/packages/engine/src/run_table.cc
@@ -8,6 +8,14 @@
   runs_.insert_or_assign(std::move(key), std::move(run));
 }
 
+bool RunTable::IsRunning(flow::FlowSlot slot, std::uint16_t message_id) const {
+  for (auto run = runs_.lower_bound({slot, {}});
+       run != runs_.end() && run->first.first == slot; ++run) {
+    if (run->second.request.message_id == message_id) return true;
+  }
+  return false;
+}
+
 std::optional<RunTable::Run> RunTable::Take(flow::FlowSlot slot,
                                             const Bytes& token) {
   auto node = runs_.extract({slot, token});
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -171,6 +171,7 @@
       counters_->Add(Counter::kDropMalformed);
       return;
     }
+    if (HoldsBack(slot, *message)) return;
     std::optional<RunTable::Run> run;
     const bool expected =
         !message->IsResponse() || ExpectsResponse(slot, *message, now, run);
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr std::chrono::seconds kRetryAfter{1};
+/// Callers retransmit for so long (MAX_TRANSMIT_SPAN, RFC 7252 section 4.8.2).
+constexpr std::chrono::seconds kMaxTransmitSpan{45};
 
 }  // namespace
 
@@ -153,6 +155,15 @@
   ReplyMessage(slot, coap::MakeChallenge(request, echo), effects);
 }
 
+/// An acknowledgement alone would end the caller's retransmissions, and with
+/// them its way to learn that the outcome is unknown, should this sidecar die.
+bool Sidecar::HoldsBack(flow::FlowSlot slot, const Message& message) const {
+  return message.type == coap::Type::kAck &&
+         message.code == coap::Code::kEmpty &&
+         service_->service.request_timeout <= kMaxTransmitSpan &&
+         runs_.IsRunning(slot, message.message_id);
+}
+
 void Sidecar::FinishRun(const RunTable::Run& run, const Message& outcome,
                         TimePoint now, SidecarEffects& effects) {
   LastReason<coap::CoapError> reason;
--- a/tests/requests_test.cc
+++ b/tests/requests_test.cc
@@ -172,6 +172,22 @@
   BOOST_TEST((world.arrivals.back().upstream == owner));
 }
 
+/// A caller that has an acknowledgement stops asking; if the owner then dies,
+/// nobody tells it that the outcome is unknown.
+BOOST_AUTO_TEST_CASE(AcknowledgementOfARunIsHeldBack) {
+  RequestFixture world(2);
+  BOOST_TEST(!world.Post(1, 2).has_value());
+  const auto run = world.arrivals.at(0);
+  world.responses.clear();
+  coap::Message acknowledgement;
+  acknowledgement.type = coap::Type::kAck;
+  acknowledgement.message_id = run.message.message_id;
+  world.Answer(run, acknowledgement);
+  BOOST_TEST(world.responses.empty());
+  world.Answer(run, MakeResponse(run.message, Code::kContent));
+  BOOST_TEST(world.responses.size() == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(OverloadIsShedAtTheEdge) {
   constexpr std::uint32_t kPlaces = 3 * (1 + 2);
   RequestFixture world(3, 1, 2);
