Outcome unknown is told when the sidecar that a permit names is silent

Cause: a permitted POST was forwarded to the named sidecar as long as the view held it; with two upstreams nobody can confirm a death, so the callers timed out. 5.04 is true whatever became of the request.

--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -46,9 +46,10 @@
   }
   if (!issuer_.Names(*named)) {
     const auto* other = service_->Find(named->upstream);
-    const bool alive = other != nullptr && other->id != options_.id &&
-                       other->incarnation == named->incarnation;
-    if (alive) {
+    const bool answers = other != nullptr && other->id != options_.id &&
+                         other->incarnation == named->incarnation &&
+                         !contacts_.IsSilent(other->id);
+    if (answers) {
       Forward(frame, *other, link::kFlagGuest | link::kFlagWalkDone, effects);
       return;
     }
