--- a/benchmarks/balancer_benchmark.cc
+++ b/benchmarks/balancer_benchmark.cc
@@ -6,6 +6,7 @@
 
 #include "allocation_count.h"
 #include "cowslip/engine.h"
+#include "tests/support/sample_view.h"
 
 namespace {
 
@@ -13,26 +14,6 @@
 
 constexpr Endpoint kService{0x7f350001, 5683};
 
-membership::ViewPtr MakeView(std::uint32_t members) {
-  ticket::Ticket ticket;
-  ticket.number = TicketNumber(1);
-  ticket::Service service;
-  service.id = ServiceId(1);
-  service.name = "custody";
-  service.address = kService;
-  ticket.services.push_back(service);
-  std::vector<Upstream> upstreams;
-  for (std::uint32_t i = 1; i <= members; ++i) {
-    Upstream upstream;
-    upstream.id = UpstreamId(i);
-    upstream.service = service.id;
-    upstream.sidecar = {0x7f150000 + i, 7000};
-    upstreams.push_back(upstream);
-  }
-  return std::make_shared<membership::View>(
-      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
-}
-
 FlowKey MakeKey(std::uint32_t flow) {
   return {
       {0x0a000000 + flow / 50'000, static_cast<std::uint16_t>(flow % 50'000)},
@@ -44,7 +25,7 @@
   engine::BalancerOptions options;
   options.id = BalancerId(1);
   auto balancer = engine::Balancer::Create(options, reason);
-  balancer->OnView(MakeView(members));
+  balancer->OnView(testing::MakeSampleView(kService, members));
   return std::move(*balancer);
 }
 
--- a/fuzz/frame_fuzz.cc
+++ b/fuzz/frame_fuzz.cc
@@ -8,6 +8,7 @@
 
 #include "cowslip/engine.h"
 #include "mutator.h"
+#include "tests/support/sample_view.h"
 
 namespace {
 
@@ -29,28 +30,6 @@
 constexpr TimePoint kStart{std::chrono::hours(1)};
 constexpr std::uint32_t kMembers = 3;
 
-membership::ViewPtr MakeView() {
-  ticket::Ticket ticket;
-  ticket.number = TicketNumber(1);
-  ticket::Service service;
-  service.id = ServiceId(1);
-  service.name = "fuzz";
-  service.address = kService;
-  service.protocol = ticket::Protocol::kCoap;
-  ticket.services.push_back(service);
-  std::vector<Upstream> upstreams;
-  for (std::uint32_t i = 1; i <= kMembers; ++i) {
-    Upstream upstream;
-    upstream.id = UpstreamId(i);
-    upstream.service = service.id;
-    upstream.incarnation = Incarnation(1);
-    upstream.sidecar = {0x7f150000 + i, 7000};
-    upstreams.push_back(upstream);
-  }
-  return std::make_shared<membership::View>(
-      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
-}
-
 Bytes MakeMessage(fuzz::Mutator& mutator) {
   coap::Message message;
   message.type = static_cast<coap::Type>(mutator.Below(4));
@@ -102,8 +81,11 @@
     balancer_ = engine::Balancer::Create({BalancerId(1), {}, 1024}, reason);
     LastReason<link::LinkError> link_reason;
     codec_ = link::FrameCodec::Create(link::FrameKey{}, link_reason);
-    sidecar_->OnView(MakeView(), kStart, to_sidecar_);
-    balancer_->OnView(MakeView());
+    sidecar_->OnView(
+        testing::MakeSampleView(kService, kMembers, ticket::Protocol::kCoap),
+        kStart, to_sidecar_);
+    balancer_->OnView(
+        testing::MakeSampleView(kService, kMembers, ticket::Protocol::kCoap));
   }
 
   void Step(std::uint64_t round) {
--- a/tests/balancer_test.cc
+++ b/tests/balancer_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "cowslip/engine.h"
+#include "tests/support/sample_view.h"
 
 namespace cowslip::engine {
 namespace {
@@ -12,32 +13,12 @@
 constexpr Endpoint kCaller{0x7f000001, 40000};
 constexpr TimePoint kStart{std::chrono::hours(1)};
 
-membership::ViewPtr MakeView(std::uint32_t members) {
-  ticket::Ticket ticket;
-  ticket.number = TicketNumber(1);
-  ticket::Service service;
-  service.id = ServiceId(1);
-  service.name = "custody";
-  service.address = kService;
-  ticket.services.push_back(service);
-  std::vector<Upstream> upstreams;
-  for (std::uint32_t i = 1; i <= members; ++i) {
-    Upstream upstream;
-    upstream.id = UpstreamId(i);
-    upstream.service = service.id;
-    upstream.sidecar = {0x7f150000 + i, 7000};
-    upstreams.push_back(upstream);
-  }
-  return std::make_shared<membership::View>(
-      1, ticket::TicketState::FromSnapshot(ticket), std::move(upstreams));
-}
-
 Balancer MakeBalancer(std::uint32_t members) {
   LastReason<EngineError> reason;
   BalancerOptions options;
   options.id = BalancerId(1);
   auto balancer = Balancer::Create(options, reason);
-  balancer->OnView(MakeView(members));
+  balancer->OnView(testing::MakeSampleView(kService, members));
   return std::move(*balancer);
 }
 
