--- a/packages/daemon/src/balancer_loop.cc
+++ b/packages/daemon/src/balancer_loop.cc
@@ -3,6 +3,7 @@
 #include <set>
 
 #include "cowslip/telemetry.h"
+#include "frame_link.h"
 
 namespace cowslip::daemon {
 namespace {
@@ -26,21 +27,16 @@
   options.frames.port = static_cast<std::uint16_t>(own.frames.port + thread);
   options.hint_capacity = own.hint_capacity;
   LastReason<engine::EngineError> engine_reason;
-  LastReason<link::LinkError> link_reason;
   auto balancer = engine::Balancer::Create(options, engine_reason);
   if (!balancer) {
     reason.Set(DaemonError::kEngine, engine_reason.Message());
     return nullptr;
   }
-  auto codec = link::FrameCodec::Create(settings.frame_key, link_reason);
-  auto frames = link::DatagramSocket::Bind(options.frames, link_reason);
-  if (!codec || !frames) {
-    reason.Set(DaemonError::kSocket, link_reason.Message());
-    return nullptr;
-  }
+  auto frames = FrameLink::Open(settings.frame_key, options.frames, reason);
+  if (!frames) return nullptr;
   return std::unique_ptr<BalancerLoop>(
-      new BalancerLoop(settings, views, std::move(*balancer), std::move(*codec),
-                       std::move(*frames)));
+      new BalancerLoop(settings, views, std::move(*balancer),
+                       std::move(frames->codec), std::move(frames->socket)));
 }
 
 BalancerLoop::BalancerLoop(const settings::DaemonSettings& settings,
--- /dev/null
+++ b/packages/daemon/src/frame_link.cc
@@ -0,0 +1,16 @@
+#include "frame_link.h"
+
+namespace cowslip::daemon {
+
+std::optional<FrameLink> FrameLink::Open(const link::FrameKey& key,
+                                         const Endpoint& local,
+                                         LastReason<DaemonError>& reason) {
+  LastReason<link::LinkError> fault;
+  auto codec = link::FrameCodec::Create(key, fault);
+  auto socket = link::DatagramSocket::Bind(local, fault);
+  if (codec && socket) return FrameLink{std::move(*codec), std::move(*socket)};
+  reason.Set(DaemonError::kSocket, fault.Message());
+  return std::nullopt;
+}
+
+}  // namespace cowslip::daemon
--- a/packages/daemon/src/sidecar_loop.cc
+++ b/packages/daemon/src/sidecar_loop.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include "cowslip/telemetry.h"
+#include "frame_link.h"
 #include "stop_signal.h"
 
 namespace cowslip::daemon {
@@ -45,21 +46,16 @@
   RAND_bytes(reinterpret_cast<unsigned char*>(&options.seed),
              sizeof options.seed);
   LastReason<engine::EngineError> engine_reason;
-  LastReason<link::LinkError> link_reason;
   auto sidecar = engine::Sidecar::Create(options, engine_reason);
   if (!sidecar) {
     reason.Set(DaemonError::kEngine, engine_reason.Message());
     return nullptr;
   }
-  auto codec = link::FrameCodec::Create(settings.frame_key, link_reason);
-  auto frames = link::DatagramSocket::Bind(own.frames, link_reason);
-  if (!codec || !frames) {
-    reason.Set(DaemonError::kSocket, link_reason.Message());
-    return nullptr;
-  }
+  auto frames = FrameLink::Open(settings.frame_key, own.frames, reason);
+  if (!frames) return nullptr;
   return std::unique_ptr<SidecarLoop>(
       new SidecarLoop(settings, views, members, std::move(*sidecar),
-                      std::move(*codec), std::move(*frames)));
+                      std::move(frames->codec), std::move(frames->socket)));
 }
 
 SidecarLoop::SidecarLoop(const settings::DaemonSettings& settings,
