A sidecar learns of its recorded death even before it saw itself alive

The sidecar went on under a dead incarnation. Ruled out: the gate after pauses (epochs were adopted), a lost item (the sidecar held three). Test: one_recorded_dead_before_it_saw_itself_asks.

--- a/packages/daemon/src/control_state.cc
+++ b/packages/daemon/src/control_state.cc
@@ -36,12 +36,14 @@
 membership::ViewPtr ControlState::BuildView(
     const ticket::TicketState& tickets) {
   std::vector<Upstream> upstreams;
+  std::vector<Upstream> dead;
   for (const auto& [key, known] : announcements_) {
-    if (!known.announcement || known.announcement->dead) continue;
-    upstreams.push_back(known.announcement->upstream);
+    if (!known.announcement) continue;
+    auto& list = known.announcement->dead ? dead : upstreams;
+    list.push_back(known.announcement->upstream);
   }
-  return std::make_shared<membership::View>(++epoch_, tickets,
-                                            std::move(upstreams));
+  return std::make_shared<membership::View>(
+      ++epoch_, tickets, std::move(upstreams), std::move(dead));
 }
 
 }  // namespace cowslip::daemon
--- a/packages/engine/src/member_role.cc
+++ b/packages/engine/src/member_role.cc
@@ -33,6 +33,7 @@
                         ServiceId service, TimePoint now) {
   const auto* members = view->Find(service);
   if (members != nullptr) gate_.OnOwnEntry(members->Find(own));
+  if (view->IsRecordedDead(own, gate_.incarnation())) gate_.OnRecordedDead();
   if (monitor_) monitor_->OnView(view, now);
 }
 
--- a/packages/membership/include/cowslip/membership/lease_gate.h
+++ b/packages/membership/include/cowslip/membership/lease_gate.h
@@ -32,6 +32,9 @@
   void OnEvent(TimePoint now);
   /// The own entry of a view, nullptr if the view has none.
   void OnOwnEntry(const Upstream* entry);
+  /// A view says that the death of the own incarnation was recorded. It may be
+  /// the first that this process hears of itself.
+  void OnRecordedDead();
   /// The announcement was read and names this incarnation, alive.
   void OnInForce(LeaseQuestion answered);
   /// A new incarnation was claimed.
@@ -40,6 +43,7 @@
 
   /// @return the question to ask of the store, once for every doubt.
   std::optional<LeaseQuestion> TakeQuestion();
+  Incarnation incarnation() const { return incarnation_; }
   LeaseState state() const { return state_; }
   bool open() const { return state_ == LeaseState::kHeld; }
 
@@ -53,6 +57,7 @@
   std::uint64_t doubts_ = 0;
   bool asked_ = true;
   bool seen_in_view_ = false;
+  bool death_noted_ = false;
 };
 
 }  // namespace cowslip::membership
--- a/packages/membership/include/cowslip/membership/view.h
+++ b/packages/membership/include/cowslip/membership/view.h
@@ -25,11 +25,14 @@
 class View {
  public:
   /// @param epoch rises with every view that a process builds.
+  /// @param dead upstreams whose death was recorded.
   View(std::uint64_t epoch, const ticket::TicketState& state,
-       std::vector<Upstream> upstreams);
+       std::vector<Upstream> upstreams, std::vector<Upstream> dead = {});
 
   std::uint64_t epoch() const { return epoch_; }
   TicketNumber ticket() const { return ticket_; }
+  /// @return whether the death of this incarnation was recorded.
+  bool IsRecordedDead(UpstreamId id, Incarnation incarnation) const;
   const ServiceView* Find(ServiceId id) const;
   const ServiceView* FindAddress(const Endpoint& address) const;
   /// Looks through all services.
@@ -46,6 +49,7 @@
 
   std::uint64_t epoch_;
   TicketNumber ticket_;
+  std::unordered_map<UpstreamId, Incarnation> dead_;
   std::map<ServiceId, std::shared_ptr<const ServiceView>> services_;
   std::unordered_map<Endpoint, const ServiceView*, EndpointHash> by_address_;
 };
--- a/packages/membership/src/lease_gate.cc
+++ b/packages/membership/src/lease_gate.cc
@@ -31,6 +31,12 @@
   Doubt();
 }
 
+void LeaseGate::OnRecordedDead() {
+  if (death_noted_) return;
+  death_noted_ = true;
+  Doubt();
+}
+
 void LeaseGate::OnInForce(LeaseQuestion answered) {
   if (state_ != LeaseState::kDoubtful || Raw(answered) != doubts_) return;
   state_ = LeaseState::kHeld;
@@ -40,6 +46,7 @@
   if (state_ == LeaseState::kLost) return;
   incarnation_ = incarnation;
   seen_in_view_ = false;
+  death_noted_ = false;
 }
 
 std::optional<LeaseQuestion> LeaseGate::TakeQuestion() {
--- a/packages/membership/src/view.cc
+++ b/packages/membership/src/view.cc
@@ -18,8 +18,11 @@
 }
 
 View::View(std::uint64_t epoch, const ticket::TicketState& state,
-           std::vector<Upstream> upstreams)
+           std::vector<Upstream> upstreams, std::vector<Upstream> dead)
     : epoch_(epoch), ticket_(state.number()) {
+  for (const auto& upstream : dead) {
+    dead_[upstream.id] = upstream.incarnation;
+  }
   std::sort(upstreams.begin(), upstreams.end(),
             [](const auto& a, const auto& b) { return a.id < b.id; });
   std::map<ServiceId, std::vector<Upstream>> grouped;
@@ -35,6 +38,11 @@
   }
 }
 
+bool View::IsRecordedDead(UpstreamId id, Incarnation incarnation) const {
+  const auto found = dead_.find(id);
+  return found != dead_.end() && found->second == incarnation;
+}
+
 const ServiceView* View::Find(ServiceId id) const {
   const auto found = services_.find(id);
   return found == services_.end() ? nullptr : found->second.get();
--- a/tests/upstream_watch_test.cc
+++ b/tests/upstream_watch_test.cc
@@ -85,5 +85,25 @@
   BOOST_TEST(upstream.writes <= 40);
 }
 
+/// The relay may bring the record of a death before the first live entry.
+BOOST_AUTO_TEST_CASE(one_recorded_dead_before_it_saw_itself_asks) {
+  const TimePoint now{std::chrono::hours(1)};
+  LeaseGate gate(std::chrono::seconds(5), Incarnation(1), now);
+  gate.OnEvent(now);
+  gate.OnOwnEntry(nullptr);
+  BOOST_TEST(gate.open());
+  Upstream dead;
+  dead.id = UpstreamId(7);
+  dead.incarnation = Incarnation(1);
+  const View view(1, ticket::TicketState(), {}, {dead});
+  BOOST_TEST(!view.IsRecordedDead(UpstreamId(7), Incarnation(2)));
+  BOOST_REQUIRE(view.IsRecordedDead(UpstreamId(7), gate.incarnation()));
+  gate.OnRecordedDead();
+  BOOST_TEST(!gate.open());
+  BOOST_TEST(gate.TakeQuestion().has_value());
+  gate.OnClaimed(Incarnation(2));
+  BOOST_TEST(!view.IsRecordedDead(UpstreamId(7), gate.incarnation()));
+}
+
 }  // namespace
 }  // namespace cowslip::membership
