--- a/packages/daemon/src/control_state.cc
+++ b/packages/daemon/src/control_state.cc
@@ -42,8 +42,8 @@
     auto& list = known.announcement->dead ? dead : upstreams;
     list.push_back(known.announcement->upstream);
   }
-  return std::make_shared<membership::View>(
-      ++epoch_, tickets, std::move(upstreams), std::move(dead));
+  return std::make_shared<membership::View>(++epoch_, tickets,
+                                            std::move(upstreams), dead);
 }
 
 }  // namespace cowslip::daemon
--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -65,11 +65,7 @@
   const bool takes = AdmitsWork() && (guest || !IsFull());
   const auto wait = ToMicroseconds(admission_.ExpectedWait(now));
   auto& least = header.least_queued;
-  if (!header.Has(link::kFlagPassedOn)) {
-    least = {};
-    // Those that were asked who owns the flow were not asked to take it.
-    header.visited.ForgetVisited();
-  }
+  if (!header.Has(link::kFlagPassedOn)) least = {};
   if (takes && (least.upstream == UpstreamId{} || wait < least.queue)) {
     least = {options_.id, wait};
   }
--- a/packages/membership/include/cowslip/membership/view.h
+++ b/packages/membership/include/cowslip/membership/view.h
@@ -27,7 +27,7 @@
   /// @param epoch rises with every view that a process builds.
   /// @param dead upstreams whose death was recorded.
   View(std::uint64_t epoch, const ticket::TicketState& state,
-       std::vector<Upstream> upstreams, std::vector<Upstream> dead = {});
+       std::vector<Upstream> upstreams, const std::vector<Upstream>& dead = {});
 
   std::uint64_t epoch() const { return epoch_; }
   TicketNumber ticket() const { return ticket_; }
--- a/packages/membership/src/view.cc
+++ b/packages/membership/src/view.cc
@@ -18,7 +18,7 @@
 }
 
 View::View(std::uint64_t epoch, const ticket::TicketState& state,
-           std::vector<Upstream> upstreams, std::vector<Upstream> dead)
+           std::vector<Upstream> upstreams, const std::vector<Upstream>& dead)
     : epoch_(epoch), ticket_(state.number()) {
   for (const auto& upstream : dead) {
     dead_[upstream.id] = upstream.incarnation;
