--- a/packages/platform/include/cowslip/platform/base64.h
+++ b/packages/base/include/cowslip/base/base64.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-namespace cowslip::platform {
+namespace cowslip {
 
 /// @return the padded base64 text of some bytes (RFC 4648, section 4).
 std::string EncodeBase64(std::string_view bytes);
@@ -13,4 +13,4 @@
 /// @return std::nullopt if the text is not canonical base64.
 std::optional<std::string> DecodeBase64(std::string_view text);
 
-}  // namespace cowslip::platform
+}  // namespace cowslip
--- a/packages/platform/src/base64.cc
+++ b/packages/base/src/base64.cc
@@ -1,8 +1,9 @@
-#include "cowslip/platform/base64.h"
+#include "cowslip/base/base64.h"
 
+#include <array>
 #include <cstdint>
 
-namespace cowslip::platform {
+namespace cowslip {
 namespace {
 
 constexpr std::string_view kAlphabet =
@@ -10,6 +11,21 @@
 constexpr std::size_t kBytesPerGroup = 3;
 constexpr std::size_t kDigitsPerGroup = 4;
 
+constexpr std::uint8_t kNoDigit = 255;
+
+/// @return the value of each character as a digit, kNoDigit for the others.
+constexpr std::array<std::uint8_t, 256> MakeDigits() {
+  std::array<std::uint8_t, 256> digits{};
+  for (auto& digit : digits) digit = kNoDigit;
+  for (std::size_t i = 0; i < kAlphabet.size(); ++i) {
+    digits[static_cast<std::uint8_t>(kAlphabet[i])] =
+        static_cast<std::uint8_t>(i);
+  }
+  return digits;
+}
+
+constexpr auto kDigits = MakeDigits();
+
 void AppendGroup(std::string_view bytes, std::string& text) {
   std::uint32_t bits = 0;
   for (std::size_t i = 0; i < kBytesPerGroup; ++i) {
@@ -44,9 +60,9 @@
   std::uint32_t bits = 0;
   unsigned bit_count = 0;
   for (const char digit : digits) {
-    const auto value = kAlphabet.find(digit);
-    if (value == std::string_view::npos) return std::nullopt;
-    bits = (bits << 6U) | static_cast<std::uint32_t>(value);
+    const auto value = kDigits[static_cast<std::uint8_t>(digit)];
+    if (value == kNoDigit) return std::nullopt;
+    bits = (bits << 6U) | value;
     bit_count += 6;
     if (bit_count < 8) continue;
     bit_count -= 8;
@@ -57,4 +73,4 @@
   return bytes;
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip
--- /dev/null
+++ b/packages/peers/include/cowslip/peers/watch_duty.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+
+#include "cowslip/base.h"
+#include "cowslip/peers/peer_entry.h"
+
+namespace cowslip::peers {
+
+/// Decides whether this balancer holds a watch on the store.
+///
+/// A few balancers watch and tell the others, so that calls to the store don't
+/// grow with the fleet. Nothing breaks when more of them do for a moment.
+class WatchDuty {
+ public:
+  /// Two, so that one that is cut off hides nothing.
+  static constexpr std::size_t kWatchers = 2;
+  /// A watcher tells all balancers each time the store answers, which it does
+  /// once a second.
+  static constexpr std::chrono::milliseconds kWatcherSilence{1700};
+  /// Spread over which balancers step in, so that not all do at once.
+  static constexpr std::chrono::milliseconds kStepInSpread{300};
+
+  explicit WatchDuty(InstanceAddress self) : self_(self) {}
+
+  void OnWatcher(InstanceAddress watcher, bool watching, TimePoint now);
+  /// @return whether to watch now.
+  bool Judge(TimePoint now);
+  bool watching() const { return watching_; }
+
+ private:
+  InstanceAddress self_;
+  bool watching_ = false;
+  std::map<InstanceAddress, TimePoint> heard_;
+  TimePoint short_since_{};  ///< Since when there are too few watchers.
+  bool short_ = false;
+};
+
+}  // namespace cowslip::peers
--- /dev/null
+++ b/packages/peers/src/gossip.cc
@@ -0,0 +1,168 @@
+#include "cowslip/peers/gossip.h"
+
+#include <algorithm>
+
+namespace cowslip::peers {
+
+Gossip::Gossip(PeerEntry self, std::uint64_t seed)
+    : self_(std::move(self)), random_(seed) {
+  table_.Merge(self_);
+}
+
+Message Gossip::MakeMessage(TimePoint now) const {
+  Message message;
+  message.sender = self_.address;
+  message.balancer = self_.balancer;
+  message.config = config_;
+  message.verified_config = verified_config_;
+  message.verified_age =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - verified_);
+  message.watching = watching_;
+  message.digest = table_.Digest(!self_.balancer);
+  return message;
+}
+
+std::vector<InstanceAddress> Gossip::PickBalancers(std::size_t count) {
+  auto balancers = table_.Balancers();
+  std::erase(balancers, self_.address);
+  if (balancers.empty()) {
+    balancers = seeds_;
+    std::erase(balancers, self_.address);
+  }
+  std::shuffle(balancers.begin(), balancers.end(), random_);
+  if (balancers.size() > count) balancers.resize(count);
+  return balancers;
+}
+
+void Gossip::Announce(const PeerEntry& entry) {
+  const bool own = entry.address == self_.address;
+  for (const auto to : PickBalancers(own ? kDirectFanout : kForwardFanout)) {
+    if (to == entry.address) continue;
+    auto message = MakeMessage(now_);
+    message.entries.push_back(entry);
+    outgoing_.push_back({to, std::move(message)});
+  }
+}
+
+void Gossip::TellSelf() {
+  ++self_.sequence;
+  table_.Merge(self_);
+  Announce(self_);
+}
+
+void Gossip::SetOpen(bool open, TimePoint now) {
+  now_ = now;
+  if (self_.open == open) return;
+  self_.open = open;
+  TellSelf();
+}
+
+void Gossip::Leave(TimePoint now) {
+  now_ = now;
+  self_.left = true;
+  self_.open = false;
+  TellSelf();
+}
+
+void Gossip::SetConfig(std::uint64_t config, bool watching) {
+  config_ = config;
+  watching_ = watching;
+}
+
+void Gossip::OnVerified(std::uint64_t config, TimePoint now) {
+  verified_config_ = std::max(verified_config_, config);
+  verified_ = std::max(verified_, now);
+}
+
+/// An entry of this instance from an earlier start, or from before its address
+/// was used again, gives way to the present one.
+void Gossip::MergeEntry(const PeerEntry& entry, News& news) {
+  if (entry.address == self_.address) {
+    if (!entry.NewerThan(self_)) return;
+    self_.incarnation = entry.incarnation + 1;
+    TellSelf();
+    return;
+  }
+  const auto result = table_.Merge(entry);
+  if (result == MergeResult::kKnown) return;
+  news.changed.push_back(entry.address);
+  if (result == MergeResult::kStarted) news.started.push_back(entry.address);
+}
+
+News Gossip::OnStored(std::span<const PeerEntry> entries, TimePoint now) {
+  now_ = now;
+  News news;
+  for (const auto& entry : entries) MergeEntry(entry, news);
+  return news;
+}
+
+News Gossip::OnMessage(const Message& message, TimePoint now) {
+  now_ = now;
+  News news;
+  if (message.sender == self_.address) return news;
+  news.config = message.config;
+  if (message.balancer) greeted_ = true;
+  const auto verified = now - message.verified_age;
+  if (message.verified_config != 0 && verified > verified_) {
+    OnVerified(message.verified_config, verified);
+  }
+  for (const auto& entry : message.entries) {
+    const auto before = news.changed.size();
+    MergeEntry(entry, news);
+    const bool changed = news.changed.size() > before;
+    const bool direct = entry.address == message.sender;
+    if (self_.balancer && changed && direct) Announce(entry);
+  }
+  if (!self_.balancer) return news;
+  const bool differs = message.digest != table_.Digest(!message.balancer);
+  if (message.want_all || differs) {
+    SendAll(message.sender, message.balancer, now);
+  }
+  return news;
+}
+
+void Gossip::SendAll(InstanceAddress to, bool to_balancer, TimePoint now) {
+  auto& synced = synced_[to];
+  if (synced != TimePoint{} && now - synced < kSyncInterval) return;
+  synced = now;
+  auto message = MakeMessage(now);
+  for (const auto& [address, entry] : table_.entries()) {
+    // A sidecar needs to know balancers only, and what is said of itself.
+    if (!to_balancer && !entry.balancer && address != to) continue;
+    message.entries.push_back(entry);
+    if (message.entries.size() < kMaxEntries) continue;
+    outgoing_.push_back({to, message});
+    message.entries.clear();
+  }
+  if (!message.entries.empty()) outgoing_.push_back({to, std::move(message)});
+}
+
+void Gossip::Broadcast() {
+  for (const auto to : PickBalancers(kForwardFanout)) {
+    outgoing_.push_back({to, MakeMessage(now_)});
+  }
+}
+
+void Gossip::OnTick(TimePoint now) {
+  now_ = now;
+  if (now - sent_ < (greeted_ ? kInterval : kGreetInterval)) return;
+  sent_ = now;
+  // Until somebody answers, the seeds may know more than the table.
+  auto targets = PickBalancers(greeted_ ? kFanout : kForwardFanout);
+  if (!greeted_) {
+    for (const auto seed : seeds_) {
+      if (seed == self_.address) continue;
+      if (std::find(targets.begin(), targets.end(), seed) == targets.end()) {
+        targets.push_back(seed);
+      }
+    }
+  }
+  for (const auto to : targets) {
+    auto message = MakeMessage(now);
+    message.want_all = !greeted_;
+    message.entries.push_back(self_);
+    outgoing_.push_back({to, std::move(message)});
+  }
+}
+
+}  // namespace cowslip::peers
--- /dev/null
+++ b/packages/peers/src/message.cc
@@ -0,0 +1,94 @@
+#include "cowslip/peers/message.h"
+
+#include <array>
+#include <cstring>
+#include <limits>
+
+#include "peers_generated.h"
+
+namespace cowslip::peers {
+namespace {
+
+/// Eight bytes, so that what follows is aligned.
+constexpr std::array<std::uint8_t, 8> kPrefix{'C', 'W', 'G', '1', 0, 0, 0, 0};
+/// Names of services are short; longer ones are not ours.
+constexpr std::size_t kMaxServiceName = 200;
+
+PeerEntry FromWire(const wire::Entry& raw) {
+  PeerEntry entry;
+  entry.address = raw.address();
+  entry.balancer = raw.balancer();
+  entry.incarnation = raw.incarnation();
+  entry.sequence = raw.sequence();
+  if (raw.service() != nullptr) entry.service = raw.service()->str();
+  entry.open = raw.open();
+  entry.left = raw.left();
+  return entry;
+}
+
+std::uint32_t ToMilliseconds(std::chrono::milliseconds age) {
+  if (age.count() < 0) return 0;
+  if (age.count() > std::numeric_limits<std::uint32_t>::max()) {
+    return std::numeric_limits<std::uint32_t>::max();
+  }
+  return static_cast<std::uint32_t>(age.count());
+}
+
+}  // namespace
+
+bool IsMessage(ByteView datagram) {
+  return datagram.size() > kPrefix.size() &&
+         std::memcmp(datagram.data(), kPrefix.data(), kPrefix.size()) == 0;
+}
+
+Bytes Encode(const Message& message) {
+  flatbuffers::FlatBufferBuilder builder(512);
+  std::vector<flatbuffers::Offset<wire::Entry>> entries;
+  for (const auto& entry : message.entries) {
+    entries.push_back(wire::CreateEntryDirect(
+        builder, entry.address, entry.balancer, entry.incarnation,
+        entry.sequence, entry.service.c_str(), entry.open, entry.left));
+  }
+  builder.Finish(wire::CreateMessageDirect(
+      builder, message.sender, message.balancer, message.config,
+      message.verified_config, ToMilliseconds(message.verified_age),
+      message.watching, message.want_all, message.digest, &entries));
+  Bytes datagram(kPrefix.size() + builder.GetSize());
+  std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
+  std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
+              builder.GetSize());
+  return datagram;
+}
+
+std::optional<Message> Decode(ByteView datagram) {
+  if (!IsMessage(datagram)) return std::nullopt;
+  // The verifier wants the alignment that a builder gives.
+  const auto body = datagram.subspan(kPrefix.size());
+  std::vector<std::uint64_t> aligned((body.size() + 7) / 8);
+  std::memcpy(aligned.data(), body.data(), body.size());
+  const auto* bytes = reinterpret_cast<const std::uint8_t*>(aligned.data());
+  flatbuffers::Verifier verifier(bytes, body.size());
+  if (!wire::VerifyMessageBuffer(verifier)) return std::nullopt;
+  const auto* raw = wire::GetMessage(bytes);
+  Message message;
+  message.sender = raw->sender();
+  message.balancer = raw->balancer();
+  message.config = raw->config();
+  message.verified_config = raw->verified_config();
+  message.verified_age = std::chrono::milliseconds(raw->verified_age_ms());
+  message.watching = raw->watching();
+  message.want_all = raw->want_all();
+  message.digest = raw->digest();
+  if (raw->entries() != nullptr) {
+    for (const auto* entry : *raw->entries()) {
+      if (entry->service() != nullptr &&
+          entry->service()->size() > kMaxServiceName) {
+        return std::nullopt;
+      }
+      message.entries.push_back(FromWire(*entry));
+    }
+  }
+  return message;
+}
+
+}  // namespace cowslip::peers
--- /dev/null
+++ b/packages/peers/src/watch_duty.cc
@@ -0,0 +1,43 @@
+#include "cowslip/peers/watch_duty.h"
+
+namespace cowslip::peers {
+
+void WatchDuty::OnWatcher(InstanceAddress watcher, bool watching,
+                          TimePoint now) {
+  if (watching) {
+    heard_[watcher] = now;
+  } else {
+    heard_.erase(watcher);
+  }
+}
+
+bool WatchDuty::Judge(TimePoint now) {
+  std::erase_if(heard_, [&](const auto& entry) {
+    return now - entry.second > kWatcherSilence;
+  });
+  if (watching_) {
+    std::size_t before = 0;
+    for (const auto& [watcher, heard] : heard_) {
+      if (watcher < self_) ++before;
+    }
+    if (before >= kWatchers) watching_ = false;
+    return watching_;
+  }
+  if (heard_.size() >= kWatchers) {
+    short_ = false;
+    return false;
+  }
+  if (!short_) {
+    short_ = true;
+    short_since_ = now;
+  }
+  // The low bits of the address spread the balancers over the time.
+  const auto delay = kStepInSpread * (self_ % 8) / 8;
+  if (now - short_since_ >= delay) {
+    watching_ = true;
+    short_ = false;
+  }
+  return watching_;
+}
+
+}  // namespace cowslip::peers
--- /dev/null
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "cowslip/base.h"
+#include "cowslip/flow.h"
+#include "cowslip/segment/balancer_stats.h"
+#include "cowslip/segment/contact_book.h"
+#include "cowslip/segment/member.h"
+#include "cowslip/segment/observer.h"
+#include "cowslip/segment/outbox.h"
+#include "cowslip/segment/pending_opening.h"
+#include "cowslip/segment/route_table.h"
+#include "cowslip/segment/unheld_flows.h"
+
+namespace cowslip::segment {
+
+/// Decides where a balancer sends the packets of callers. Holds nothing that a
+/// flow needs: any balancer with the same members finds the same sidecars.
+class Balancer {
+ public:
+  /// Sidecars among which a new connection is placed, by their load.
+  static constexpr std::size_t kPlacementChoices = 4;
+  /// Flows whose sidecar is remembered.
+  static constexpr std::size_t kHintCapacity = 8192;
+
+  Balancer(InstanceAddress self, Observer& observer);
+
+  void SetRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now);
+  /// Replaces the members of a service.
+  void SetMembers(ServiceTag service, const std::vector<Member>& members,
+                  TimePoint now);
+  /// A sidecar has started anew.
+  void OnRestart(InstanceAddress sidecar) { contacts_.Forget(sidecar); }
+
+  void OnPacket(const Segment& segment, ByteView packet, TimePoint now,
+                Outbox& out);
+  void OnReceipt(InstanceAddress sidecar, const Receipt& receipt, TimePoint now,
+                 Outbox& out);
+  /// Repeats what was not answered; call it every few milliseconds.
+  void OnTick(TimePoint now, Outbox& out);
+
+  const RouteTable& routes() const { return *routes_; }
+  const BalancerStats& stats() const { return stats_; }
+  /// @return whether there is a route to some service with an open member.
+  bool CanServe() const;
+
+ private:
+  struct Service {
+    std::vector<Upstream> ranked;  ///< Members as the ranking takes them.
+    TimePoint changed{};           ///< When the members last changed.
+  };
+
+  void OnOpening(const Segment& segment, ByteView packet, const Route& route,
+                 TimePoint now, Outbox& out);
+  void OnContinuing(const Segment& segment, ByteView packet,
+                    const Route& route, TimePoint now, Outbox& out);
+  void SendOpening(PendingOpening& opening, TimePoint now, Outbox& out);
+  bool BuildOpeningList(PendingOpening& opening, std::uint64_t hash,
+                        TimePoint now);
+  void AppendRanked(ServiceTag service, std::uint64_t hash,
+                    SegmentFrame& frame);
+  void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
+  bool CoversAllMembers(const Route& route, TimePoint now) const;
+  void Report(std::string_view what, std::string_view reason,
+              const FlowKey& flow, InstanceAddress instance = 0,
+              std::uint32_t place = 0, std::uint32_t wait_us = 0);
+
+  InstanceAddress self_;
+  Observer* observer_;
+  std::shared_ptr<const RouteTable> routes_;
+  std::unordered_map<ServiceTag, Service> services_;
+  ContactBook contacts_;
+  flow::HintCache hints_;
+  flow::Ranking ranking_;
+  PendingOpenings pending_;
+  UnheldFlows unheld_;
+  BalancerStats stats_;
+};
+
+}  // namespace cowslip::segment
--- /dev/null
+++ b/packages/segment/include/cowslip/segment/load_estimate.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "cowslip/base.h"
+
+namespace cowslip::segment {
+
+/// Estimates the wait of a further connection from what passes the sidecar.
+///
+/// Answers the load pattern of full upstreams beside upstreams with room: the
+/// load is judged where it is known, not by reports that lag.
+class LoadEstimate {
+ public:
+  /// Share of a sample in the moving mean of service times.
+  static constexpr double kSampleShare = 0.1;
+  /// Time constant of the utilisation: long enough to see through single
+  /// requests, short enough to see a change of load within a second.
+  static constexpr std::chrono::milliseconds kUtilisationTime{1000};
+  /// Service time that is assumed until a request has been seen.
+  static constexpr std::chrono::milliseconds kInitialServiceTime{20};
+
+  void SetSlots(std::uint32_t slots) { slots_ = slots == 0 ? 1 : slots; }
+  /// A connection was given to the upstream; its first request follows.
+  void OnExpected() { ++expected_; }
+  void OnExpectationEnded() {
+    if (expected_ > 0) --expected_;
+  }
+  void OnStarted(TimePoint now);
+  /// @param elapsed since the request was passed to the upstream.
+  /// @param queued whether all slots were taken when it started.
+  void OnAnswered(Duration elapsed, bool queued, TimePoint now);
+  /// A request ended without an answer.
+  void OnAbandoned(TimePoint now);
+  /// The upstream was replaced: what was learnt of it is void.
+  void Restart(TimePoint now);
+  void SetWarmup(bool warming) { warming_ = warming; }
+
+  /// @return whether a request that arrived now would get a slot.
+  bool HasRoom() const { return in_progress_ + expected_ < slots_; }
+  bool all_slots_taken() const { return in_progress_ >= slots_; }
+  std::uint32_t in_progress() const { return in_progress_; }
+  /// @return expected time from the arrival of a request to its answer.
+  std::chrono::microseconds ExpectedWait(TimePoint now);
+  double utilisation() const { return utilisation_; }
+
+ private:
+  void Advance(TimePoint now);
+
+  std::uint32_t slots_ = 1;
+  std::uint32_t in_progress_ = 0;
+  std::uint32_t expected_ = 0;
+  bool warming_ = false;
+  double service_s_ = std::chrono::duration<double>(kInitialServiceTime).count();
+  double utilisation_ = 0;  ///< Moving mean of the share of busy slots.
+  TimePoint updated_{};
+};
+
+}  // namespace cowslip::segment
--- /dev/null
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+
+#include "cowslip/base.h"
+#include "cowslip/segment/flow_ledger.h"
+#include "cowslip/segment/frame.h"
+#include "cowslip/segment/frame_ring.h"
+#include "cowslip/segment/load_estimate.h"
+#include "cowslip/segment/observer.h"
+#include "cowslip/segment/opening_watch.h"
+#include "cowslip/segment/outbox.h"
+#include "cowslip/segment/sidecar_stats.h"
+#include "cowslip/segment/upstream_gate.h"
+
+namespace cowslip::segment {
+
+/// Decides what a sidecar does with the packets for and of its upstream.
+class Sidecar {
+ public:
+  Sidecar(InstanceAddress self, ServiceTag service, Observer& observer,
+          TimePoint started);
+
+  /// A caller's packet, from a balancer or passed on by a sidecar.
+  void OnFrame(SegmentFrame frame, const Segment& segment, ByteView packet,
+               TimePoint now, Outbox& out);
+  /// A packet that the upstream sends to a caller.
+  void OnUpstreamPacket(const Segment& segment, ByteView packet, TimePoint now,
+                        Outbox& out);
+  /// A packet of a caller that the upstream returned.
+  void OnBounced(std::uint32_t token, const Segment& segment, ByteView packet,
+                 TimePoint now, Outbox& out);
+  void OnProbe(InstanceAddress balancer, TimePoint now, Outbox& out);
+  /// Passes on what the upstream doesn't answer; call it every few
+  /// milliseconds.
+  void OnTick(TimePoint now, Outbox& out);
+
+  ReportVerdict OnReport(const UpstreamReport& report, TimePoint now);
+  void OnHealthy(std::string_view id, TimePoint now);
+  void OnDeregistered(std::string_view id) { gate_.OnDeregistered(id); }
+  /// The instance is stopping: no new connections from now on.
+  void Close() { stopping_ = true; }
+
+  bool open() const { return gate_.open() && !stopping_; }
+  const UpstreamGate& gate() const { return gate_; }
+  const SidecarStats& stats() const { return stats_; }
+  const LoadEstimate& load() const { return load_; }
+  std::size_t flows() const { return ledger_.size(); }
+  std::uint64_t newest_config() const { return newest_config_; }
+
+ private:
+  /// A flow whose first request has not come yet.
+  struct ExpectedRequest {
+    FlowKey flow;
+    TimePoint due;  ///< When it no longer counts in the load.
+  };
+
+  void OnOpening(SegmentFrame& frame, const Segment& segment, ByteView packet,
+                 TimePoint now, Outbox& out);
+  void OnContinuing(SegmentFrame& frame, const Segment& segment,
+                    ByteView packet, TimePoint now, Outbox& out);
+  void Take(const SegmentFrame& frame, const Segment& segment, ByteView packet,
+            TimePoint now, Outbox& out);
+  void Deliver(FlowEntry& entry, const SegmentFrame& frame,
+               const Segment& segment, ByteView packet, TimePoint now,
+               Outbox& out);
+  void PassOn(SegmentFrame& frame, const Segment& segment, ByteView packet,
+              TimePoint now, Outbox& out);
+  bool Holds(FlowEntry& entry, const Segment& segment) const;
+  /// @return whether the upstream may hold flows that this sidecar doesn't know.
+  bool MayHoldUnknown(TimePoint now) const;
+  bool IsStale(const SegmentFrame& frame, TimePoint now) const;
+  void NoteConfig(std::uint64_t config, TimePoint now);
+  void TrackRequest(FlowEntry& entry, const Segment& segment, TimePoint now);
+  void EndRequest(FlowEntry& entry, TimePoint now);
+  void Forget(FlowEntry& entry, TimePoint now);
+  void TellBalancer(const SegmentFrame& frame, Verdict verdict,
+                    const Segment& segment, TimePoint now, Outbox& out);
+  void Report(std::string_view what, std::string_view reason,
+              const FlowKey& flow, const SegmentFrame& frame);
+
+  InstanceAddress self_;
+  ServiceTag service_;
+  Observer* observer_;
+  TimePoint started_;
+  bool stopping_ = false;
+  std::uint64_t newest_config_ = 0;
+  TimePoint config_since_{};
+  UpstreamGate gate_;
+  LoadEstimate load_;
+  FlowLedger ledger_;
+  FrameRing ring_;
+  OpeningWatch watch_;
+  std::deque<ExpectedRequest> expected_;
+  TimePoint swept_{};
+  SidecarStats stats_;
+};
+
+}  // namespace cowslip::segment
--- /dev/null
+++ b/packages/segment/src/frame.cc
@@ -0,0 +1,123 @@
+#include "cowslip/segment/frame.h"
+
+#include <cstring>
+
+#include "frame_generated.h"
+
+namespace cowslip::segment {
+namespace {
+
+/// First word of each datagram, "CWS1", so that foreign ones are told apart.
+constexpr std::uint32_t kMagic = 0x31535743;
+
+template <typename T>
+void AppendRaw(const T& value, Bytes& out) {
+  const auto* bytes = reinterpret_cast<const std::uint8_t*>(&value);
+  out.insert(out.end(), bytes, bytes + sizeof value);
+}
+
+template <typename T>
+std::optional<T> ReadRaw(ByteView datagram) {
+  if (datagram.size() < sizeof(T)) return std::nullopt;
+  T value;
+  std::memcpy(&value, datagram.data(), sizeof value);
+  return value;
+}
+
+}  // namespace
+
+std::optional<FrameKind> KindOf(ByteView datagram) {
+  constexpr std::size_t kPrefix = 5;
+  if (datagram.size() < kPrefix) return std::nullopt;
+  std::uint32_t magic = 0;
+  std::memcpy(&magic, datagram.data(), sizeof magic);
+  const auto kind = datagram[4];
+  if (flatbuffers::EndianScalar(magic) != kMagic) return std::nullopt;
+  if (kind < 1 || kind > static_cast<std::uint8_t>(FrameKind::kProbe)) {
+    return std::nullopt;
+  }
+  return static_cast<FrameKind>(kind);
+}
+
+std::optional<SegmentFrame> DecodeSegmentFrame(ByteView datagram,
+                                               ByteView& packet) {
+  const auto raw = ReadRaw<wire::SegmentFrame>(datagram);
+  if (!raw || raw->magic() != kMagic || raw->hop_count() == 0 ||
+      raw->hop_count() > kMaxHops || raw->place() >= raw->hop_count() ||
+      raw->best_place() >= raw->hop_count()) {
+    return std::nullopt;
+  }
+  const std::size_t hop_bytes = raw->hop_count() * sizeof(InstanceAddress);
+  auto rest = datagram.subspan(sizeof(wire::SegmentFrame));
+  if (rest.size() < hop_bytes) return std::nullopt;
+  SegmentFrame frame;
+  frame.config = raw->config();
+  frame.service = ServiceTag{raw->service()};
+  frame.balancer = raw->balancer();
+  frame.place = raw->place();
+  frame.hop_count = raw->hop_count();
+  frame.asked = raw->asked();
+  frame.forced = raw->forced() != 0;
+  frame.inconclusive = raw->inconclusive() != 0;
+  frame.best_wait_us = raw->best_wait();
+  frame.best_place = raw->best_place();
+  for (std::size_t i = 0; i < frame.hop_count; ++i) {
+    std::memcpy(&frame.hops[i], rest.data() + i * sizeof(InstanceAddress),
+                sizeof(InstanceAddress));
+    frame.hops[i] = flatbuffers::EndianScalar(frame.hops[i]);
+  }
+  packet = rest.subspan(hop_bytes);
+  return frame;
+}
+
+std::optional<Receipt> DecodeReceipt(ByteView datagram) {
+  const auto raw = ReadRaw<wire::Receipt>(datagram);
+  if (!raw || raw->magic() != kMagic ||
+      raw->verdict() > static_cast<std::uint8_t>(Verdict::kAlive)) {
+    return std::nullopt;
+  }
+  Receipt receipt;
+  receipt.verdict = static_cast<Verdict>(raw->verdict());
+  receipt.syn = raw->syn() != 0;
+  receipt.open = raw->open() != 0;
+  receipt.config = raw->config();
+  receipt.expected_wait_us = raw->expected_wait();
+  receipt.flow = {{raw->caller_address(), raw->caller_port()},
+                  {raw->service_address(), raw->service_port()}};
+  receipt.caller_ack = raw->caller_ack();
+  return receipt;
+}
+
+void AppendSegmentFrame(const SegmentFrame& frame, ByteView packet,
+                        Bytes& out) {
+  AppendRaw(
+      wire::SegmentFrame(
+          kMagic, static_cast<std::uint8_t>(FrameKind::kSegment), frame.place,
+          frame.hop_count, frame.asked, frame.config,
+          static_cast<std::uint64_t>(frame.service), frame.balancer,
+          frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
+          frame.inconclusive ? 1 : 0, 0),
+      out);
+  for (std::size_t i = 0; i < frame.hop_count; ++i) {
+    AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
+  }
+  out.insert(out.end(), packet.begin(), packet.end());
+}
+
+void AppendReceipt(const Receipt& receipt, Bytes& out) {
+  AppendRaw(
+      wire::Receipt(kMagic, static_cast<std::uint8_t>(FrameKind::kReceipt),
+                    static_cast<std::uint8_t>(receipt.verdict),
+                    receipt.syn ? 1 : 0, receipt.open ? 1 : 0, receipt.config,
+                    receipt.expected_wait_us, receipt.flow.caller.address,
+                    receipt.flow.service.address, receipt.flow.caller.port,
+                    receipt.flow.service.port, receipt.caller_ack),
+      out);
+}
+
+void AppendProbe(Bytes& out) {
+  AppendRaw(flatbuffers::EndianScalar(kMagic), out);
+  out.push_back(static_cast<std::uint8_t>(FrameKind::kProbe));
+}
+
+}  // namespace cowslip::segment
--- /dev/null
+++ b/packages/segment/src/route_table.cc
@@ -0,0 +1,53 @@
+#include "cowslip/segment/route_table.h"
+
+#include <algorithm>
+
+namespace cowslip::segment {
+namespace {
+
+void AddUnlessTarget(const std::vector<RouteTarget>& targets,
+                     ServiceTag service, std::vector<ServiceTag>& former) {
+  const bool target =
+      std::any_of(targets.begin(), targets.end(),
+                  [&](const auto& each) { return each.service == service; });
+  if (target) return;
+  if (std::find(former.begin(), former.end(), service) == former.end()) {
+    former.push_back(service);
+  }
+}
+
+}  // namespace
+
+ServiceTag Route::Choose(std::uint64_t flow_hash) const {
+  if (targets.empty()) return ServiceTag{};
+  std::uint64_t total = 0;
+  for (const auto& target : targets) total += target.weight;
+  if (total == 0) return targets.front().service;
+  // The high bits; the low ones rank the members.
+  std::uint64_t pick = (flow_hash >> 32) % total;
+  for (const auto& target : targets) {
+    if (pick < target.weight) return target.service;
+    pick -= target.weight;
+  }
+  return targets.back().service;
+}
+
+const Route* RouteTable::Find(const Endpoint& address) const {
+  const auto found = routes.find(address);
+  return found == routes.end() ? nullptr : &found->second;
+}
+
+void RouteTable::Inherit(const RouteTable& previous) {
+  for (auto& [address, route] : routes) {
+    const auto* before = previous.Find(address);
+    if (before == nullptr) continue;
+    for (const auto& target : before->targets) {
+      AddUnlessTarget(route.targets, target.service, route.former);
+    }
+    for (const auto& service : before->former) {
+      AddUnlessTarget(route.targets, service, route.former);
+    }
+  }
+}
+
+}  // namespace cowslip::segment
