--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -14,7 +14,7 @@
 #include "cowslip/segment/member.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
-#include "cowslip/segment/pending_opening.h"
+#include "cowslip/segment/pending_packet.h"
 #include "cowslip/segment/route_table.h"
 #include "cowslip/segment/unheld_flows.h"
 
@@ -60,11 +60,18 @@
                  TimePoint now, Outbox& out);
   void OnContinuing(const Segment& segment, ByteView packet,
                     const Route& route, TimePoint now, Outbox& out);
-  void SendOpening(PendingOpening& opening, TimePoint now, Outbox& out);
-  bool BuildOpeningList(PendingOpening& opening, std::uint64_t hash,
-                        TimePoint now);
+  /// Sends a packet and watches it until a sidecar has taken it.
+  void Search(PendingPacket&& pending, TimePoint now, Outbox& out);
+  void Send(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// @return whether there is a sidecar to send it to.
+  bool BuildList(PendingPacket& pending, TimePoint now);
+  void BuildOpeningList(const Service& service, std::uint64_t hash,
+                        TimePoint now, SegmentFrame& frame);
+  void BuildSearchList(const Route& route, std::uint64_t hash,
+                       SegmentFrame& frame);
   void AppendRanked(ServiceTag service, std::uint64_t hash,
                     SegmentFrame& frame);
+  void OnPassed(InstanceAddress sidecar, const Receipt& receipt, TimePoint now);
   void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
   bool CoversAllMembers(const Route& route, TimePoint now) const;
   void Report(std::string_view what, std::string_view reason,
@@ -78,7 +85,7 @@
   ContactBook contacts_;
   flow::HintCache hints_;
   flow::Ranking ranking_;
-  PendingOpenings pending_;
+  PendingPackets pending_;
   UnheldFlows unheld_;
   BalancerStats stats_;
 };
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -15,7 +15,7 @@
   std::uint64_t given_up = 0;          ///< Openings that no sidecar took.
   std::uint64_t resets = 0;            ///< Told to callers.
   std::uint64_t unheld = 0;            ///< Packets of flows that nobody holds.
-  std::uint64_t late_openings = 0;     ///< Not watched, as too many were.
+  std::uint64_t unwatched = 0;         ///< Sent once, as too many wait.
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -28,6 +28,8 @@
   bool forced = false;     ///< All were visited: the least loaded takes it.
   /// A visited sidecar could not tell whether its upstream holds the flow.
   bool inconclusive = false;
+  /// The balancer doesn't know the flow's sidecar: it wants to be told.
+  bool searched = false;
   /// Least expected wait among the visited sidecars, and its place.
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
@@ -51,6 +53,7 @@
   std::uint32_t expected_wait_us = 0;
   FlowKey flow;
   std::uint32_t caller_ack = 0;  ///< Acknowledged by the caller's packet.
+  InstanceAddress next = 0;      ///< Who gets a packet that was passed on.
 };
 
 enum class FrameKind : std::uint8_t { kSegment = 1, kReceipt = 2, kProbe = 3 };
--- /dev/null
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+
+#include "cowslip/base.h"
+#include "cowslip/segment/frame.h"
+#include "cowslip/segment/segment.h"
+
+namespace cowslip::segment {
+
+/// A caller's packet until a sidecar has taken it: one that opens a connection,
+/// or one of a flow whose sidecar is not known here.
+struct PendingPacket {
+  Segment segment;
+  SegmentFrame frame;
+  Bytes packet;
+  std::uint8_t next_hop = 0;  ///< Where the next repetition starts.
+  /// The sidecar that has not said yet that it has got the packet.
+  InstanceAddress waiting_for = 0;
+  TimePoint due{};    ///< When to repeat it.
+  TimePoint since{};  ///< Arrival.
+};
+
+using PendingPackets =
+    std::unordered_map<FlowKey, PendingPacket, FlowKeyHash>;
+
+}  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -40,6 +40,9 @@
   ReportVerdict OnReport(const UpstreamReport& report, TimePoint now);
   void OnHealthy(std::string_view id, TimePoint now);
   void OnDeregistered(std::string_view id) { gate_.OnDeregistered(id); }
+  /// @param has an earlier process of this instance may have placed flows that
+  ///     the upstream still holds; true until it is known.
+  void SetPredecessor(bool has) { has_predecessor_ = has; }
   /// The instance is stopping: no new connections from now on.
   void Close() { stopping_ = true; }
 
@@ -77,7 +80,8 @@
   void EndRequest(FlowEntry& entry, TimePoint now);
   void Forget(FlowEntry& entry, TimePoint now);
   void TellBalancer(const SegmentFrame& frame, Verdict verdict,
-                    const Segment& segment, TimePoint now, Outbox& out);
+                    const Segment& segment, TimePoint now, Outbox& out,
+                    InstanceAddress next = 0);
   void Report(std::string_view what, std::string_view reason,
               const FlowKey& flow, const SegmentFrame& frame);
 
@@ -86,6 +90,7 @@
   Observer* observer_;
   TimePoint started_;
   bool stopping_ = false;
+  bool has_predecessor_ = true;
   std::uint64_t newest_config_ = 0;
   TimePoint config_since_{};
   UpstreamGate gate_;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -13,7 +13,10 @@
 constexpr std::chrono::milliseconds kOfferInterval{100};
 /// Callers give an attempt up 1.4 s after its first packet.
 constexpr std::chrono::milliseconds kOpeningLifetime{1200};
-/// Openings watched at the same time; 250 a second are usual.
+/// Callers repeat a packet after 200 ms themselves.
+constexpr std::chrono::milliseconds kSearchLifetime{180};
+/// Packets watched at the same time; a few hundred flows change their balancer
+/// when one joins.
 constexpr std::size_t kMaxPending = 1024;
 /// News of a member reaches all balancers well within this time.
 constexpr std::chrono::seconds kSettledAfter{2};
@@ -109,42 +112,56 @@
 
 void Balancer::OnOpening(const Segment& segment, ByteView packet,
                          const Route& route, TimePoint now, Outbox& out) {
-  const auto hash = HashFlow(segment.flow);
-  PendingOpening opening;
-  opening.flow = segment.flow;
-  opening.since = now;
-  opening.frame.service = route.Choose(hash);
+  PendingPacket pending;
+  pending.segment = segment;
+  pending.frame.service = route.Choose(HashFlow(segment.flow));
   // A copy starts one place later, past a sidecar that didn't answer.
-  opening.next_hop = static_cast<std::uint8_t>(segment.ack % kMaxHops);
-  if (packet.size() > PendingOpening::kMaxPacket) return;
-  std::copy(packet.begin(), packet.end(), opening.packet.begin());
-  opening.packet_size = static_cast<std::uint8_t>(packet.size());
-  if (!BuildOpeningList(opening, hash, now)) {
+  pending.next_hop = static_cast<std::uint8_t>(segment.ack % kMaxHops);
+  if (!BuildList(pending, now)) {
     ++stats_.no_member;
     ++stats_.resets;
     Report("refuse", "no_member", segment.flow);
     out.Reset(segment.flow, 0);
     return;
   }
+  pending.packet.assign(packet.begin(), packet.end());
+  Search(std::move(pending), now, out);
+}
+
+void Balancer::Search(PendingPacket&& pending, TimePoint now, Outbox& out) {
+  pending.since = now;
+  pending.frame.searched = true;
   if (pending_.size() >= kMaxPending) {
-    ++stats_.late_openings;
-    SendOpening(opening, now, out);
+    ++stats_.unwatched;
+    Send(pending, now, out);
     return;
   }
-  auto& kept = pending_.insert_or_assign(segment.flow, opening).first->second;
-  SendOpening(kept, now, out);
+  auto& kept = pending_[pending.segment.flow];
+  kept = std::move(pending);
+  Send(kept, now, out);
 }
 
-/// Orders the first-ranked sidecars by the wait that they last told.
-bool Balancer::BuildOpeningList(PendingOpening& opening, std::uint64_t hash,
-                                TimePoint now) {
-  auto& frame = opening.frame;
+bool Balancer::BuildList(PendingPacket& pending, TimePoint now) {
+  const auto& segment = pending.segment;
+  auto& frame = pending.frame;
   frame.hop_count = 0;
-  const auto service = services_.find(frame.service);
-  if (service == services_.end() || service->second.ranked.empty()) {
-    return false;
+  const auto hash = HashFlow(segment.flow);
+  if (segment.opens()) {
+    const auto service = services_.find(frame.service);
+    if (service == services_.end()) return false;
+    BuildOpeningList(service->second, hash, now, frame);
+  } else {
+    const auto* route = routes_->Find(segment.flow.service);
+    if (route == nullptr) return false;
+    BuildSearchList(*route, hash, frame);
   }
-  ranking_.Build(service->second.ranked, hash);
+  return frame.hop_count > 0;
+}
+
+/// Orders the first-ranked sidecars by the wait that they last told.
+void Balancer::BuildOpeningList(const Service& service, std::uint64_t hash,
+                                TimePoint now, SegmentFrame& frame) {
+  ranking_.Build(service.ranked, hash);
   struct Choice {
     InstanceAddress sidecar;
     std::uint32_t wait_us;
@@ -167,22 +184,29 @@
   for (const auto* upstream : ranking_.order()) {
     Append(frame, Raw(upstream->id));
   }
-  return true;
 }
 
-void Balancer::SendOpening(PendingOpening& opening, TimePoint now,
-                           Outbox& out) {
-  auto frame = opening.frame;
-  const auto start = opening.next_hop % frame.hop_count;
+void Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
+                               SegmentFrame& frame) {
+  AppendRanked(route.Choose(hash), hash, frame);
+  for (const auto& target : route.targets) {
+    AppendRanked(target.service, hash, frame);
+  }
+  for (const auto& former : route.former) AppendRanked(former, hash, frame);
+  MoveSilentBack(contacts_, frame);
+}
+
+void Balancer::Send(PendingPacket& pending, TimePoint now, Outbox& out) {
+  auto frame = pending.frame;
+  const auto start = pending.next_hop % frame.hop_count;
   std::rotate(frame.hops.begin(), frame.hops.begin() + start,
               frame.hops.begin() + frame.hop_count);
   frame.config = routes_->version;
   frame.balancer = self_;
-  opening.waiting_for = frame.hops[0];
-  opening.due = now + kReceiptTimeout;
-  ++opening.attempts;
-  ++opening.next_hop;
-  out.SendFrame(frame.hops[0], frame, opening.bytes());
+  pending.waiting_for = frame.hops[0];
+  pending.due = now + kReceiptTimeout;
+  ++pending.next_hop;
+  out.SendFrame(frame.hops[0], frame, pending.packet);
 }
 
 void Balancer::AppendRanked(ServiceTag tag, std::uint64_t hash,
@@ -198,23 +222,26 @@
 void Balancer::OnContinuing(const Segment& segment, ByteView packet,
                             const Route& route, TimePoint now, Outbox& out) {
   const auto hash = HashFlow(segment.flow);
-  SegmentFrame frame;
+  PendingPacket pending;
+  pending.segment = segment;
+  auto& frame = pending.frame;
   frame.service = route.Choose(hash);
-  frame.config = routes_->version;
-  frame.balancer = self_;
   const auto hint = hints_.Find(segment.flow, hash, now);
-  if (hint) Append(frame, Raw(*hint));
-  AppendRanked(frame.service, hash, frame);
-  for (const auto& target : route.targets) {
-    AppendRanked(target.service, hash, frame);
-  }
-  for (const auto& former : route.former) AppendRanked(former, hash, frame);
-  if (frame.hop_count == 0) {
-    ++stats_.no_member;
+  if (!hint) {
+    BuildSearchList(route, hash, frame);
+    if (frame.hop_count == 0) {
+      ++stats_.no_member;
+      return;
+    }
+    pending.packet.assign(packet.begin(), packet.end());
+    Search(std::move(pending), now, out);
     return;
   }
-  MoveSilentBack(contacts_, frame);
-  out.SendFrame(frame.hops[0], frame, packet);
+  Append(frame, Raw(*hint));
+  BuildSearchList(route, hash, frame);
+  frame.config = routes_->version;
+  frame.balancer = self_;
+  out.SendFrame(Raw(*hint), frame, packet);
 }
 
 void Balancer::OnReceipt(InstanceAddress sidecar, const Receipt& receipt,
@@ -226,32 +253,51 @@
   switch (receipt.verdict) {
     case Verdict::kAlive:
       return;
-    case Verdict::kPassed: {
-      const auto found = pending_.find(receipt.flow);
-      if (found != pending_.end() && found->second.waiting_for == sidecar) {
-        found->second.waiting_for = 0;
-      }
+    case Verdict::kPassed:
+      OnPassed(sidecar, receipt, now);
       return;
-    }
     case Verdict::kTaken:
       hints_.Learn(receipt.flow, HashFlow(receipt.flow), UpstreamId{sidecar},
                    now);
-      if (receipt.syn) pending_.erase(receipt.flow);
+      pending_.erase(receipt.flow);
       return;
     case Verdict::kUnheld:
     case Verdict::kUnknown:
-      if (!receipt.syn) OnUnheld(receipt, now, out);
-      // An opening that all members passed on is offered again by OnTick.
       if (receipt.syn) {
+        // An opening that all members passed on is offered again by OnTick().
         const auto found = pending_.find(receipt.flow);
         if (found == pending_.end()) return;
         found->second.waiting_for = 0;
         found->second.due = now + kOfferInterval;
+      } else {
+        pending_.erase(receipt.flow);
+        OnUnheld(receipt, now, out);
       }
       return;
   }
 }
 
+void Balancer::OnPassed(InstanceAddress sidecar, const Receipt& receipt,
+                        TimePoint now) {
+  const auto found = pending_.find(receipt.flow);
+  if (found == pending_.end()) {
+    // The hint was wrong; the next packet is searched for.
+    if (!receipt.syn) hints_.Forget(receipt.flow, HashFlow(receipt.flow));
+    return;
+  }
+  auto& pending = found->second;
+  if (pending.waiting_for != sidecar) return;
+  pending.waiting_for = receipt.next;
+  pending.due = now + kReceiptTimeout;
+  // A repetition starts behind the sidecar that has it now.
+  const auto& frame = pending.frame;
+  const auto* end = frame.hops.begin() + frame.hop_count;
+  const auto* place = std::find(frame.hops.begin(), end, receipt.next);
+  if (place == end) return;
+  pending.next_hop =
+      static_cast<std::uint8_t>(place - frame.hops.begin() + 1);
+}
+
 bool Balancer::CoversAllMembers(const Route& route, TimePoint now) const {
   std::size_t members = 0;
   const auto settled = [&](ServiceTag tag) {
@@ -283,25 +329,31 @@
 
 void Balancer::OnTick(TimePoint now, Outbox& out) {
   for (auto entry = pending_.begin(); entry != pending_.end();) {
-    auto& opening = entry->second;
-    if (now < opening.due) {
+    auto& pending = entry->second;
+    if (now < pending.due) {
       ++entry;
       continue;
     }
-    if (opening.waiting_for != 0) {
-      contacts_.OnMiss(opening.waiting_for, now);
-      Report("resend", "no_receipt", opening.flow, opening.waiting_for,
-             opening.next_hop);
+    const auto& flow = pending.segment.flow;
+    if (pending.waiting_for != 0) {
+      contacts_.OnMiss(pending.waiting_for, now);
+      Report("resend", "no_receipt", flow, pending.waiting_for,
+             pending.next_hop);
     }
-    if (now - opening.since > kOpeningLifetime) {
+    const auto lifetime =
+        pending.segment.opens() ? kOpeningLifetime : kSearchLifetime;
+    if (now - pending.since > lifetime) {
       ++stats_.given_up;
-      Report("give_up", "no_member_took_it", opening.flow);
+      Report("give_up", "no_member_took_it", flow);
       entry = pending_.erase(entry);
       continue;
     }
     ++stats_.resent;
-    if (BuildOpeningList(opening, HashFlow(opening.flow), now)) {
-      SendOpening(opening, now, out);
+    // The order of an opening's list follows the load; a search goes on where
+    // it stood.
+    const bool found = !pending.segment.opens() || BuildList(pending, now);
+    if (found) {
+      Send(pending, now, out);
       ++entry;
     } else {
       entry = pending_.erase(entry);
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -59,6 +59,7 @@
   frame.asked = raw->asked();
   frame.forced = raw->forced() != 0;
   frame.inconclusive = raw->inconclusive() != 0;
+  frame.searched = raw->searched() != 0;
   frame.best_wait_us = raw->best_wait();
   frame.best_place = raw->best_place();
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
@@ -85,6 +86,7 @@
   receipt.flow = {{raw->caller_address(), raw->caller_port()},
                   {raw->service_address(), raw->service_port()}};
   receipt.caller_ack = raw->caller_ack();
+  receipt.next = raw->next();
   return receipt;
 }
 
@@ -96,7 +98,7 @@
           frame.hop_count, frame.asked, frame.config,
           static_cast<std::uint64_t>(frame.service), frame.balancer,
           frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
-          frame.inconclusive ? 1 : 0, 0),
+          frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0),
       out);
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
     AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
@@ -111,7 +113,8 @@
                     receipt.syn ? 1 : 0, receipt.open ? 1 : 0, receipt.config,
                     receipt.expected_wait_us, receipt.flow.caller.address,
                     receipt.flow.service.address, receipt.flow.caller.port,
-                    receipt.flow.service.port, receipt.caller_ack),
+                    receipt.flow.service.port, receipt.caller_ack,
+                    receipt.next),
       out);
 }
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -41,7 +41,8 @@
 }
 
 bool Sidecar::MayHoldUnknown(TimePoint now) const {
-  return !gate_.saw_start() && now - started_ < kOldestFlow;
+  return has_predecessor_ && !gate_.saw_start() &&
+         now - started_ < kOldestFlow;
 }
 
 void Sidecar::OnFrame(SegmentFrame frame, const Segment& segment,
@@ -105,13 +106,12 @@
   load_.OnExpected();
   expected_.push_back({segment.flow, now + kFirstRequestTime});
   out.SendToUpstream(ring_.Store(segment.flow, frame), packet);
-  if (packet.size() <= PendingOpening::kMaxPacket) {
-    PendingOpening opening;
+  if (packet.size() <= UnansweredOpening::kMaxPacket) {
+    UnansweredOpening opening;
     opening.flow = segment.flow;
     opening.frame = frame;
     std::copy(packet.begin(), packet.end(), opening.packet.begin());
     opening.packet_size = static_cast<std::uint8_t>(packet.size());
-    opening.since = now;
     opening.due = now + kAnswerTimeout;
     watch_.push_back(opening);
   }
@@ -152,6 +152,7 @@
       ++frame.asked;
       Report("ask_upstream", "started_after_flow", segment.flow, frame);
       out.SendToUpstream(ring_.Store(segment.flow, frame), packet);
+      TellBalancer(frame, Verdict::kTaken, segment, now, out);
       return;
     }
   }
@@ -169,7 +170,7 @@
     entry.state = FlowState::kEnded;
   }
   out.SendToUpstream(FrameRing::kNoToken, packet);
-  if (frame.place > 0) {
+  if (frame.place > 0 || frame.searched) {
     TellBalancer(frame, Verdict::kTaken, segment, now, out);
   }
 }
@@ -213,9 +214,7 @@
   const std::uint8_t next = frame.place + 1;
   if (!frame.forced && next < frame.hop_count) {
     ++stats_.passed;
-    if (segment.opens()) {
-      TellBalancer(frame, Verdict::kPassed, segment, now, out);
-    }
+    TellBalancer(frame, Verdict::kPassed, segment, now, out, frame.hops[next]);
     frame.place = next;
     out.SendFrame(frame.hops[next], frame, packet);
     return;
@@ -227,7 +226,8 @@
     if (frame.hops[frame.place] == self_) {
       Take(frame, segment, packet, now, out);
     } else {
-      TellBalancer(frame, Verdict::kPassed, segment, now, out);
+      TellBalancer(frame, Verdict::kPassed, segment, now, out,
+                   frame.hops[frame.place]);
       out.SendFrame(frame.hops[frame.place], frame, packet);
     }
     return;
@@ -361,8 +361,8 @@
 }
 
 void Sidecar::TellBalancer(const SegmentFrame& frame, Verdict verdict,
-                           const Segment& segment, TimePoint now,
-                           Outbox& out) {
+                           const Segment& segment, TimePoint now, Outbox& out,
+                           InstanceAddress next) {
   Receipt receipt;
   receipt.verdict = verdict;
   receipt.syn = segment.opens();
@@ -372,6 +372,7 @@
       static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
   receipt.flow = segment.flow;
   receipt.caller_ack = segment.ack;
+  receipt.next = next;
   out.SendReceipt(frame.balancer, receipt);
 }
 
