--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <span>
 #include <utility>
@@ -53,7 +54,7 @@
     seeds_ = std::move(seeds);
   }
   /// Changes the own entry and tells the balancers.
-  void SetOpen(bool open, TimePoint now);
+  void SetOpen(bool open, std::uint64_t upstream, TimePoint now);
   void Leave(TimePoint now);
   /// What regular messages say of the configuration.
   void SetConfig(std::uint64_t config, bool watching);
@@ -74,6 +75,8 @@
 
   const PeerTable& table() const { return table_; }
   const PeerEntry& self() const { return self_; }
+  /// @return the entry of an earlier process of this instance, if one was met.
+  const std::optional<PeerEntry>& predecessor() const { return predecessor_; }
   bool greeted() const { return greeted_; }
   std::uint64_t verified_config() const { return verified_config_; }
   /// @return time since the store was last heard by any balancer.
@@ -88,6 +91,7 @@
   void MergeEntry(const PeerEntry& entry, News& news);
 
   PeerEntry self_;
+  std::optional<PeerEntry> predecessor_;
   PeerTable table_;
   std::mt19937_64 random_;
   std::vector<InstanceAddress> seeds_;
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -16,6 +16,8 @@
   std::uint64_t incarnation = 0;  ///< Rises with each start of the process.
   std::uint32_t sequence = 0;     ///< Rises with each change within one start.
   std::string service;            ///< Of a sidecar.
+  /// Start of the upstream that a sidecar serves, 0 if it has heard of none.
+  std::uint64_t upstream = 0;
   bool open = false;              ///< A sidecar's upstream takes connections.
   bool left = false;              ///< Stopped as planned.
 
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -50,10 +50,11 @@
   Announce(self_);
 }
 
-void Gossip::SetOpen(bool open, TimePoint now) {
+void Gossip::SetOpen(bool open, std::uint64_t upstream, TimePoint now) {
   now_ = now;
-  if (self_.open == open) return;
+  if (self_.open == open && self_.upstream == upstream) return;
   self_.open = open;
+  self_.upstream = upstream;
   TellSelf();
 }
 
@@ -78,6 +79,7 @@
 /// was used again, gives way to the present one.
 void Gossip::MergeEntry(const PeerEntry& entry, News& news) {
   if (entry.address == self_.address) {
+    if (entry.incarnation != self_.incarnation) predecessor_ = entry;
     if (!entry.NewerThan(self_)) return;
     self_.incarnation = entry.incarnation + 1;
     TellSelf();
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -23,6 +23,7 @@
   if (raw.service() != nullptr) entry.service = raw.service()->str();
   entry.open = raw.open();
   entry.left = raw.left();
+  entry.upstream = raw.upstream();
   return entry;
 }
 
@@ -47,7 +48,8 @@
   for (const auto& entry : message.entries) {
     entries.push_back(wire::CreateEntryDirect(
         builder, entry.address, entry.balancer, entry.incarnation,
-        entry.sequence, entry.service.c_str(), entry.open, entry.left));
+        entry.sequence, entry.service.c_str(), entry.open, entry.left,
+        entry.upstream));
   }
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config,
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -16,7 +16,6 @@
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/pending_packet.h"
 #include "cowslip/segment/route_table.h"
-#include "cowslip/segment/unheld_flows.h"
 
 namespace cowslip::segment {
 
@@ -29,7 +28,7 @@
   /// Flows whose sidecar is remembered.
   static constexpr std::size_t kHintCapacity = 8192;
 
-  Balancer(InstanceAddress self, Observer& observer);
+  Balancer(InstanceAddress self, Observer& observer, TimePoint started);
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now);
   /// Replaces the members of a service.
@@ -56,8 +55,12 @@
     TimePoint changed{};           ///< When the members last changed.
   };
 
-  void OnOpening(const Segment& segment, ByteView packet, const Route& route,
-                 TimePoint now, Outbox& out);
+  void OnOpening(const Segment& segment, ByteView packet, TimePoint now,
+                 Outbox& out);
+  /// @return whether what is missing for an opening may only be unknown yet.
+  bool StillLearning(const Segment& segment, TimePoint now) const;
+  void Refuse(const Segment& segment, Outbox& out);
+  void Wait(PendingPacket&& pending, TimePoint now);
   void OnContinuing(const Segment& segment, ByteView packet,
                     const Route& route, TimePoint now, Outbox& out);
   /// Sends a packet and watches it until a sidecar has taken it.
@@ -80,13 +83,13 @@
 
   InstanceAddress self_;
   Observer* observer_;
+  TimePoint started_;
   std::shared_ptr<const RouteTable> routes_;
   std::unordered_map<ServiceTag, Service> services_;
   ContactBook contacts_;
   flow::HintCache hints_;
   flow::Ranking ranking_;
   PendingPackets pending_;
-  UnheldFlows unheld_;
   BalancerStats stats_;
 };
 
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -18,6 +18,8 @@
   std::uint8_t next_hop = 0;  ///< Where the next repetition starts.
   /// The sidecar that has not said yet that it has got the packet.
   InstanceAddress waiting_for = 0;
+  /// All members have said once that they don't hold its flow.
+  bool unheld_once = false;
   TimePoint due{};    ///< When to repeat it.
   TimePoint since{};  ///< Arrival.
 };
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -10,7 +10,13 @@
 /// share of the processor answers after up to 100 ms, and then two get it.
 constexpr std::chrono::milliseconds kReceiptTimeout{40};
 /// Interval at which an opening is offered again while no member takes any.
-constexpr std::chrono::milliseconds kOfferInterval{100};
+constexpr std::chrono::milliseconds kOfferInterval{40};
+/// Time from the start in which the members of a service may still be unknown:
+/// the store answers in milliseconds, or once it has come back.
+constexpr std::chrono::milliseconds kLearningTime{2500};
+/// A flow that nobody holds is searched for once more after this time: news of
+/// a member take a few milliseconds.
+constexpr std::chrono::milliseconds kConfirmAfter{25};
 /// Callers give an attempt up 1.4 s after its first packet.
 constexpr std::chrono::milliseconds kOpeningLifetime{1200};
 /// Callers repeat a packet after 200 ms themselves.
@@ -18,8 +24,8 @@
 /// Packets watched at the same time; a few hundred flows change their balancer
 /// when one joins.
 constexpr std::size_t kMaxPending = 1024;
-/// News of a member reaches all balancers well within this time.
-constexpr std::chrono::seconds kSettledAfter{2};
+/// Lost news of a member are mended by the regular messages within this time.
+constexpr std::chrono::milliseconds kSettledAfter{700};
 
 Upstream ToUpstream(const Member& member, ServiceTag) {
   Upstream upstream;
@@ -47,18 +53,26 @@
   }
 }
 
-/// Silent sidecars lose a frame, so they come last.
-void MoveSilentBack(const ContactBook& contacts, SegmentFrame& frame) {
-  std::stable_partition(
-      frame.hops.begin(), frame.hops.begin() + frame.hop_count,
-      [&](InstanceAddress hop) { return !contacts.IsSilent(hop); });
+/// Silent sidecars lose a frame, so they are left out; one of them may hold the
+/// flow.
+void LeaveOutSilent(const ContactBook& contacts, SegmentFrame& frame) {
+  auto* const begin = frame.hops.begin();
+  auto* const end = begin + frame.hop_count;
+  auto* const kept = std::remove_if(begin, end, [&](InstanceAddress hop) {
+    return contacts.IsSilent(hop);
+  });
+  if (kept == end) return;
+  frame.inconclusive = true;
+  // With nobody left to ask, they are asked all the same.
+  if (kept != begin) frame.hop_count = static_cast<std::uint8_t>(kept - begin);
 }
 
 }  // namespace
 
-Balancer::Balancer(InstanceAddress self, Observer& observer)
+Balancer::Balancer(InstanceAddress self, Observer& observer, TimePoint started)
     : self_(self),
       observer_(&observer),
+      started_(started),
       routes_(std::make_shared<RouteTable>()),
       hints_(MakeHints()) {}
 
@@ -88,7 +102,11 @@
 void Balancer::OnPacket(const Segment& segment, ByteView packet, TimePoint now,
                         Outbox& out) {
   ++stats_.packets;
-  if (segment.opens()) ++stats_.openings;
+  if (segment.opens()) {
+    ++stats_.openings;
+    OnOpening(segment, packet, now, out);
+    return;
+  }
   if (routes_->version == 0) {
     ++stats_.no_configuration;
     return;
@@ -96,41 +114,57 @@
   const auto* route = routes_->Find(segment.flow.service);
   if (route == nullptr) {
     ++stats_.no_route;
-    if (segment.opens()) {
-      ++stats_.resets;
-      Report("refuse", "no_route", segment.flow);
-      out.Reset(segment.flow, 0);
-    }
     return;
   }
-  if (segment.opens()) {
-    OnOpening(segment, packet, *route, now, out);
-  } else {
-    OnContinuing(segment, packet, *route, now, out);
-  }
+  OnContinuing(segment, packet, *route, now, out);
 }
 
-void Balancer::OnOpening(const Segment& segment, ByteView packet,
-                         const Route& route, TimePoint now, Outbox& out) {
+void Balancer::OnOpening(const Segment& segment, ByteView packet, TimePoint now,
+                         Outbox& out) {
   PendingPacket pending;
   pending.segment = segment;
-  pending.frame.service = route.Choose(HashFlow(segment.flow));
   // A copy starts one place later, past a sidecar that didn't answer.
   pending.next_hop = static_cast<std::uint8_t>(segment.ack % kMaxHops);
+  pending.packet.assign(packet.begin(), packet.end());
   if (!BuildList(pending, now)) {
-    ++stats_.no_member;
-    ++stats_.resets;
-    Report("refuse", "no_member", segment.flow);
-    out.Reset(segment.flow, 0);
+    if (StillLearning(segment, now)) {
+      Wait(std::move(pending), now);
+    } else {
+      Refuse(segment, out);
+    }
     return;
   }
-  pending.packet.assign(packet.begin(), packet.end());
   Search(std::move(pending), now, out);
 }
 
+bool Balancer::StillLearning(const Segment& segment, TimePoint now) const {
+  if (now - started_ >= kLearningTime) return false;
+  // A known configuration without the route is an answer.
+  return routes_->version == 0 ||
+         routes_->Find(segment.flow.service) != nullptr;
+}
+
+void Balancer::Refuse(const Segment& segment, Outbox& out) {
+  const bool routed = routes_->Find(segment.flow.service) != nullptr;
+  ++(routed ? stats_.no_member : stats_.no_route);
+  ++stats_.resets;
+  Report("refuse", routed ? "no_member" : "no_route", segment.flow);
+  out.Reset(segment.flow, 0);
+}
+
+void Balancer::Wait(PendingPacket&& pending, TimePoint now) {
+  if (pending_.size() >= kMaxPending) {
+    ++stats_.unwatched;
+    return;
+  }
+  pending.since = now;
+  pending.waiting_for = 0;
+  pending.due = now + kOfferInterval;
+  pending_[pending.segment.flow] = std::move(pending);
+}
+
 void Balancer::Search(PendingPacket&& pending, TimePoint now, Outbox& out) {
   pending.since = now;
-  pending.frame.searched = true;
   if (pending_.size() >= kMaxPending) {
     ++stats_.unwatched;
     Send(pending, now, out);
@@ -146,13 +180,14 @@
   auto& frame = pending.frame;
   frame.hop_count = 0;
   const auto hash = HashFlow(segment.flow);
+  const auto* route = routes_->Find(segment.flow.service);
+  if (route == nullptr) return false;
+  frame.service = route->Choose(hash);
   if (segment.opens()) {
     const auto service = services_.find(frame.service);
     if (service == services_.end()) return false;
     BuildOpeningList(service->second, hash, now, frame);
   } else {
-    const auto* route = routes_->Find(segment.flow.service);
-    if (route == nullptr) return false;
     BuildSearchList(*route, hash, frame);
   }
   return frame.hop_count > 0;
@@ -193,7 +228,7 @@
     AppendRanked(target.service, hash, frame);
   }
   for (const auto& former : route.former) AppendRanked(former, hash, frame);
-  MoveSilentBack(contacts_, frame);
+  LeaveOutSilent(contacts_, frame);
 }
 
 void Balancer::Send(PendingPacket& pending, TimePoint now, Outbox& out) {
@@ -203,6 +238,7 @@
               frame.hops.begin() + frame.hop_count);
   frame.config = routes_->version;
   frame.balancer = self_;
+  frame.searched = true;
   pending.waiting_for = frame.hops[0];
   pending.due = now + kReceiptTimeout;
   ++pending.next_hop;
@@ -263,16 +299,7 @@
       return;
     case Verdict::kUnheld:
     case Verdict::kUnknown:
-      if (receipt.syn) {
-        // An opening that all members passed on is offered again by OnTick().
-        const auto found = pending_.find(receipt.flow);
-        if (found == pending_.end()) return;
-        found->second.waiting_for = 0;
-        found->second.due = now + kOfferInterval;
-      } else {
-        pending_.erase(receipt.flow);
-        OnUnheld(receipt, now, out);
-      }
+      OnUnheld(receipt, now, out);
       return;
   }
 }
@@ -316,12 +343,32 @@
 }
 
 void Balancer::OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out) {
+  const auto found = pending_.find(receipt.flow);
+  if (receipt.syn) {
+    // All members passed it on; OnTick() offers it again.
+    if (found == pending_.end()) return;
+    found->second.waiting_for = 0;
+    found->second.due = now + kOfferInterval;
+    return;
+  }
   ++stats_.unheld;
   hints_.Forget(receipt.flow, HashFlow(receipt.flow));
-  if (receipt.verdict != Verdict::kUnheld) return;
+  if (found == pending_.end()) return;
+  auto& pending = found->second;
   const auto* route = routes_->Find(receipt.flow.service);
-  if (route == nullptr || !CoversAllMembers(*route, now)) return;
-  if (!unheld_.Confirm(receipt.flow, now)) return;
+  const bool conclusive = receipt.verdict == Verdict::kUnheld &&
+                          route != nullptr && CoversAllMembers(*route, now);
+  if (!conclusive) {
+    pending_.erase(found);
+    return;
+  }
+  if (!pending.unheld_once) {
+    pending.unheld_once = true;
+    pending.waiting_for = 0;
+    pending.due = now + kConfirmAfter;
+    return;
+  }
+  pending_.erase(found);
   ++stats_.resets;
   Report("reset", "flow_unheld_by_all_members", receipt.flow);
   out.Reset(receipt.flow, receipt.caller_ack);
@@ -351,18 +398,23 @@
     ++stats_.resent;
     // The order of an opening's list follows the load; a search goes on where
     // it stood.
-    const bool found = !pending.segment.opens() || BuildList(pending, now);
-    if (found) {
+    if (!pending.segment.opens() && !pending.unheld_once) {
+      Send(pending, now, out);
+      ++entry;
+    } else if (BuildList(pending, now)) {
       Send(pending, now, out);
       ++entry;
+    } else if (StillLearning(pending.segment, now)) {
+      pending.due = now + kOfferInterval;
+      ++entry;
     } else {
+      if (pending.segment.opens()) Refuse(pending.segment, out);
       entry = pending_.erase(entry);
     }
   }
   for (const auto sidecar : contacts_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
   }
-  unheld_.Expire(now);
 }
 
 void Balancer::Report(std::string_view what, std::string_view reason,
