--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -60,7 +60,7 @@
   void SetConfig(std::uint64_t config, bool watching);
   /// The store was heard to hold this version as its newest.
   void OnVerified(std::uint64_t config, TimePoint now);
-  /// Entries from the store.
+  /// All entries that the store holds.
   News OnStored(std::span<const PeerEntry> entries, TimePoint now);
   void Remove(InstanceAddress address) { table_.Remove(address); }
 
@@ -78,6 +78,9 @@
   /// @return the entry of an earlier process of this instance, if one was met.
   const std::optional<PeerEntry>& predecessor() const { return predecessor_; }
   bool greeted() const { return greeted_; }
+  /// @return whether the table holds all that the store did, read by this
+  ///     instance or by one that told it.
+  bool complete() const { return complete_; }
   std::uint64_t verified_config() const { return verified_config_; }
   /// @return time since the store was last heard by any balancer.
   Duration VerifiedAge(TimePoint now) const { return now - verified_; }
@@ -98,6 +101,7 @@
   std::vector<Outgoing> outgoing_;
   std::map<InstanceAddress, TimePoint> synced_;
   bool greeted_ = false;  ///< A balancer has answered since the start.
+  bool complete_ = false;
   bool watching_ = false;
   std::uint64_t config_ = 0;
   std::uint64_t verified_config_ = 0;
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -21,6 +21,8 @@
   bool watching = false;  ///< The sender holds a watch on the store.
   bool want_all = false;  ///< The sender knows little: send everything.
   std::uint64_t digest = 0;
+  /// The sender's table holds all that the store does.
+  bool complete = false;
   std::vector<PeerEntry> entries;
 };
 
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -19,6 +19,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(now - verified_);
   message.watching = watching_;
   message.digest = table_.Digest(!self_.balancer);
+  message.complete = complete_;
   return message;
 }
 
@@ -93,6 +94,7 @@
 
 News Gossip::OnStored(std::span<const PeerEntry> entries, TimePoint now) {
   now_ = now;
+  complete_ = true;
   News news;
   for (const auto& entry : entries) MergeEntry(entry, news);
   return news;
@@ -116,6 +118,11 @@
     if (self_.balancer && changed && direct) Announce(entry);
   }
   if (!self_.balancer) return news;
+  // Equal digests: this table holds what the complete one does.
+  if (message.balancer && message.complete &&
+      message.digest == table_.Digest(false)) {
+    complete_ = true;
+  }
   const bool differs = message.digest != table_.Digest(!message.balancer);
   if (message.want_all || differs) {
     SendAll(message.sender, message.balancer, now);
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -54,7 +54,8 @@
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config,
       message.verified_config, ToMilliseconds(message.verified_age),
-      message.watching, message.want_all, message.digest, &entries));
+      message.watching, message.want_all, message.digest, &entries,
+      message.complete));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -81,6 +82,7 @@
   message.watching = raw->watching();
   message.want_all = raw->want_all();
   message.digest = raw->digest();
+  message.complete = raw->complete();
   if (raw->entries() != nullptr) {
     for (const auto* entry : *raw->entries()) {
       if (entry->service() != nullptr &&
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -30,10 +30,16 @@
 
   Balancer(InstanceAddress self, Observer& observer, TimePoint started);
 
-  void SetRoutes(std::shared_ptr<const RouteTable> routes, TimePoint now);
+  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
+    routes_ = std::move(routes);
+  }
   /// Replaces the members of a service.
   void SetMembers(ServiceTag service, const std::vector<Member>& members,
                   TimePoint now);
+  /// All members that the store lists are known now.
+  void SetComplete(TimePoint now) {
+    if (!complete_since_) complete_since_ = now;
+  }
   /// A sidecar has started anew.
   void OnRestart(InstanceAddress sidecar) { contacts_.Forget(sidecar); }
 
@@ -52,7 +58,7 @@
  private:
   struct Service {
     std::vector<Upstream> ranked;  ///< Members as the ranking takes them.
-    TimePoint changed{};           ///< When the members last changed.
+    TimePoint joined{};            ///< When a member was last added.
   };
 
   void OnOpening(const Segment& segment, ByteView packet, TimePoint now,
@@ -84,6 +90,7 @@
   InstanceAddress self_;
   Observer* observer_;
   TimePoint started_;
+  std::optional<TimePoint> complete_since_;
   std::shared_ptr<const RouteTable> routes_;
   std::unordered_map<ServiceTag, Service> services_;
   ContactBook contacts_;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -24,10 +24,13 @@
 /// Packets watched at the same time; a few hundred flows change their balancer
 /// when one joins.
 constexpr std::size_t kMaxPending = 1024;
+/// News take a few milliseconds, or 100 ms through an instance that used up its
+/// share of the processor.
+constexpr std::chrono::milliseconds kNewsTime{200};
 /// Lost news of a member are mended by the regular messages within this time.
 constexpr std::chrono::milliseconds kSettledAfter{700};
 
-Upstream ToUpstream(const Member& member, ServiceTag) {
+Upstream ToUpstream(const Member& member) {
   Upstream upstream;
   upstream.id = UpstreamId{member.sidecar};
   upstream.state =
@@ -76,20 +79,20 @@
       routes_(std::make_shared<RouteTable>()),
       hints_(MakeHints()) {}
 
-void Balancer::SetRoutes(std::shared_ptr<const RouteTable> routes,
-                         TimePoint now) {
-  routes_ = std::move(routes);
-  for (auto& [tag, service] : services_) service.changed = now;
-}
-
 void Balancer::SetMembers(ServiceTag tag, const std::vector<Member>& members,
                           TimePoint now) {
   auto& service = services_[tag];
-  service.ranked.clear();
+  std::vector<Upstream> before;
+  before.swap(service.ranked);
   for (const auto& member : members) {
-    service.ranked.push_back(ToUpstream(member, tag));
+    const auto upstream = ToUpstream(member);
+    const bool known =
+        std::any_of(before.begin(), before.end(),
+                    [&](const auto& each) { return each.id == upstream.id; });
+    // Those that come with the first complete list did not join just now.
+    if (!known && complete_since_) service.joined = now;
+    service.ranked.push_back(upstream);
   }
-  service.changed = now;
 }
 
 bool Balancer::CanServe() const {
@@ -331,8 +334,9 @@
     const auto service = services_.find(tag);
     if (service == services_.end()) return true;
     members += service->second.ranked.size();
-    return now - service->second.changed >= kSettledAfter;
+    return now - service->second.joined >= kSettledAfter;
   };
+  if (!complete_since_ || now - *complete_since_ < kNewsTime) return false;
   for (const auto& target : route.targets) {
     if (!settled(target.service)) return false;
   }
