--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -81,6 +81,9 @@
   void AppendRanked(ServiceTag service, std::uint64_t hash,
                     SegmentFrame& frame);
   void OnPassed(InstanceAddress sidecar, const Receipt& receipt, TimePoint now);
+  /// Resets a lost flow if an upstream has a free slot for the next try.
+  /// @return whether it was reset.
+  bool ResetLost(const PendingPacket& pending, TimePoint now, Outbox& out);
   void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
   bool CoversAllMembers(const Route& route, TimePoint now) const;
   void Report(std::string_view what, std::string_view reason,
--- a/packages/segment/include/cowslip/segment/contact_book.h
+++ b/packages/segment/include/cowslip/segment/contact_book.h
@@ -23,6 +23,9 @@
   /// An expected wait older than this says nothing about the present.
   static constexpr std::chrono::milliseconds kWaitLifetime{1500};
 
+  /// Free slots told longer ago are as good as unknown.
+  static constexpr std::chrono::milliseconds kSlotsLifetime{300};
+
   void OnReceipt(InstanceAddress sidecar, const Receipt& receipt,
                  TimePoint now);
   void OnMiss(InstanceAddress sidecar, TimePoint now);
@@ -34,6 +37,9 @@
   bool IsOpen(InstanceAddress sidecar, bool listed_open) const;
   /// @return the wait that it last told, 0 if none is fresh.
   std::uint32_t ExpectedWaitUs(InstanceAddress sidecar, TimePoint now) const;
+  /// Takes one of the free slots that a sidecar last told of.
+  /// @return whether there was one, or the sidecar has not told anything lately.
+  bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
   /// @return silent sidecars to probe now.
   const std::vector<InstanceAddress>& TakeDueProbes(TimePoint now);
 
@@ -43,6 +49,7 @@
     bool open = true;
     bool heard = false;
     std::uint32_t wait_us = 0;
+    std::uint16_t free_slots = 0;
     TimePoint wait_at{};
     TimePoint probed{};
   };
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -51,6 +51,7 @@
   bool open = false;  ///< The sender's upstream takes new connections.
   std::uint64_t config = 0;  ///< Newest version that the sender has seen.
   std::uint32_t expected_wait_us = 0;
+  std::uint16_t free_slots = 0;  ///< At the sender's upstream.
   FlowKey flow;
   std::uint32_t caller_ack = 0;  ///< Acknowledged by the caller's packet.
   InstanceAddress next = 0;      ///< Who gets a packet that was passed on.
--- a/packages/segment/include/cowslip/segment/load_estimate.h
+++ b/packages/segment/include/cowslip/segment/load_estimate.h
@@ -37,8 +37,20 @@
   void Restart(TimePoint now);
   void SetWarmup(bool warming) { warming_ = warming; }
 
+  /// Requests beyond the slots that an upstream is given; it queues a few and
+  /// refuses what comes on top.
+  static constexpr std::uint32_t kMaxQueue = 4;
+
   /// @return whether a request that arrived now would get a slot.
   bool HasRoom() const { return in_progress_ + expected_ < slots_; }
+  /// @return whether it would be queued rather than refused.
+  bool CanQueue() const {
+    return in_progress_ + expected_ < slots_ + kMaxQueue;
+  }
+  std::uint32_t free_slots() const {
+    const auto used = in_progress_ + expected_;
+    return used < slots_ ? slots_ - used : 0;
+  }
   bool all_slots_taken() const { return in_progress_ >= slots_; }
   std::uint32_t in_progress() const { return in_progress_; }
   /// @return expected time from the arrival of a request to its answer.
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -20,6 +20,8 @@
   InstanceAddress waiting_for = 0;
   /// All members have said once that they don't hold its flow.
   bool unheld_once = false;
+  /// Nobody holds the flow; it is reset when its caller's next try has room.
+  bool lost = false;
   TimePoint due{};    ///< When to repeat it.
   TimePoint since{};  ///< Arrival.
 };
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -82,6 +82,7 @@
   void TellBalancer(const SegmentFrame& frame, Verdict verdict,
                     const Segment& segment, TimePoint now, Outbox& out,
                     InstanceAddress next = 0);
+  void DescribeSelf(Receipt& receipt, TimePoint now);
   void Report(std::string_view what, std::string_view reason,
               const FlowKey& flow, const SegmentFrame& frame);
 
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -24,6 +24,11 @@
 /// Packets watched at the same time; a few hundred flows change their balancer
 /// when one joins.
 constexpr std::size_t kMaxPending = 1024;
+/// Interval at which lost flows are looked at again while all slots are taken.
+constexpr std::chrono::milliseconds kRoomInterval{20};
+/// A lost flow is forgotten after this time; its caller repeats and it is
+/// searched for again.
+constexpr std::chrono::milliseconds kLostLifetime{1500};
 /// News take a few milliseconds, or 100 ms through an instance that used up its
 /// share of the processor.
 constexpr std::chrono::milliseconds kNewsTime{200};
@@ -260,6 +265,8 @@
 
 void Balancer::OnContinuing(const Segment& segment, ByteView packet,
                             const Route& route, TimePoint now, Outbox& out) {
+  const auto lost = pending_.find(segment.flow);
+  if (lost != pending_.end() && lost->second.lost) return;
   const auto hash = HashFlow(segment.flow);
   PendingPacket pending;
   pending.segment = segment;
@@ -372,10 +379,27 @@
     pending.due = now + kConfirmAfter;
     return;
   }
-  pending_.erase(found);
+  pending.lost = true;
+  pending.waiting_for = 0;
+  pending.due = now + kRoomInterval;
+  if (ResetLost(pending, now, out)) pending_.erase(found);
+}
+
+bool Balancer::ResetLost(const PendingPacket& pending, TimePoint now,
+                         Outbox& out) {
+  const auto& segment = pending.segment;
+  const auto service = services_.find(pending.frame.service);
+  if (service == services_.end()) return false;
+  const auto& members = service->second.ranked;
+  const bool room =
+      std::any_of(members.begin(), members.end(), [&](const auto& member) {
+        return contacts_.ClaimSlot(Raw(member.id), now);
+      });
+  if (!room) return false;
   ++stats_.resets;
-  Report("reset", "flow_unheld_by_all_members", receipt.flow);
-  out.Reset(receipt.flow, receipt.caller_ack);
+  Report("reset", "flow_unheld_by_all_members", segment.flow);
+  out.Reset(segment.flow, segment.ack);
+  return true;
 }
 
 void Balancer::OnTick(TimePoint now, Outbox& out) {
@@ -391,6 +415,16 @@
       Report("resend", "no_receipt", flow, pending.waiting_for,
              pending.next_hop);
     }
+    if (pending.lost) {
+      const bool over = now - pending.since > kLostLifetime;
+      pending.due = now + kRoomInterval;
+      if (ResetLost(pending, now, out) || over) {
+        entry = pending_.erase(entry);
+      } else {
+        ++entry;
+      }
+      continue;
+    }
     const auto lifetime =
         pending.segment.opens() ? kOpeningLifetime : kSearchLifetime;
     if (now - pending.since > lifetime) {
--- a/packages/segment/src/contact_book.cc
+++ b/packages/segment/src/contact_book.cc
@@ -9,6 +9,7 @@
   contact.heard = true;
   contact.open = receipt.open;
   contact.wait_us = receipt.expected_wait_us;
+  contact.free_slots = receipt.free_slots;
   contact.wait_at = now;
 }
 
@@ -38,6 +39,21 @@
   return found->second.wait_us;
 }
 
+bool ContactBook::ClaimSlot(InstanceAddress sidecar, TimePoint now) {
+  auto& contact = contacts_[sidecar];
+  if (contact.misses >= kMissesUntilSilent) return false;
+  if (!contact.heard || now - contact.wait_at > kSlotsLifetime) {
+    // One claim; the next waits for news.
+    contact.heard = true;
+    contact.wait_at = now;
+    contact.free_slots = 0;
+    return true;
+  }
+  if (contact.free_slots == 0) return false;
+  --contact.free_slots;
+  return true;
+}
+
 const std::vector<InstanceAddress>& ContactBook::TakeDueProbes(TimePoint now) {
   due_.clear();
   for (auto& [sidecar, contact] : contacts_) {
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -87,6 +87,7 @@
                   {raw->service_address(), raw->service_port()}};
   receipt.caller_ack = raw->caller_ack();
   receipt.next = raw->next();
+  receipt.free_slots = raw->free_slots();
   return receipt;
 }
 
@@ -114,7 +115,7 @@
                     receipt.expected_wait_us, receipt.flow.caller.address,
                     receipt.flow.service.address, receipt.flow.caller.port,
                     receipt.flow.service.port, receipt.caller_ack,
-                    receipt.next),
+                    receipt.next, receipt.free_slots),
       out);
 }
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -91,7 +91,7 @@
   }
   const auto wait =
       static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
-  if (wait < frame.best_wait_us) {
+  if (load_.CanQueue() && wait < frame.best_wait_us) {
     frame.best_wait_us = wait;
     frame.best_place = frame.place;
   }
@@ -303,10 +303,7 @@
 void Sidecar::OnProbe(InstanceAddress balancer, TimePoint now, Outbox& out) {
   Receipt receipt;
   receipt.verdict = Verdict::kAlive;
-  receipt.open = open();
-  receipt.config = newest_config_;
-  receipt.expected_wait_us =
-      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
+  DescribeSelf(receipt, now);
   out.SendReceipt(balancer, receipt);
 }
 
@@ -366,16 +363,22 @@
   Receipt receipt;
   receipt.verdict = verdict;
   receipt.syn = segment.opens();
-  receipt.open = open();
-  receipt.config = newest_config_;
-  receipt.expected_wait_us =
-      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
+  DescribeSelf(receipt, now);
   receipt.flow = segment.flow;
   receipt.caller_ack = segment.ack;
   receipt.next = next;
   out.SendReceipt(frame.balancer, receipt);
 }
 
+void Sidecar::DescribeSelf(Receipt& receipt, TimePoint now) {
+  receipt.open = open();
+  receipt.config = newest_config_;
+  receipt.expected_wait_us =
+      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
+  receipt.free_slots =
+      open() ? static_cast<std::uint16_t>(load_.free_slots()) : 0;
+}
+
 void Sidecar::Report(std::string_view what, std::string_view reason,
                      const FlowKey& flow, const SegmentFrame& frame) {
   observer_->OnDecision({what, reason, flow, frame.balancer, frame.config,
