Two balancers watch the store, leases pass to the next process, searches go on in laps

Ruled out: fewer, longer watches, which would not fit the time within which a configuration has to be in force.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -26,6 +26,7 @@
   std::vector<InstanceAddress> changed;  ///< Entries that are new or newer.
   std::vector<InstanceAddress> started;  ///< Among them, new starts.
   std::uint64_t config = 0;              ///< Version that the sender has.
+  bool watching = false;                 ///< The sender watches the store.
 };
 
 /// Spreads entries between balancers, and from sidecars to them.
@@ -53,6 +54,8 @@
   void SetSeeds(std::vector<InstanceAddress> seeds) {
     seeds_ = std::move(seeds);
   }
+  /// The lease under which the store holds the own entry.
+  void SetLease(std::uint64_t lease) { self_.lease = lease; }
   /// Changes the own entry and tells the balancers.
   void SetOpen(bool open, std::uint64_t upstream, TimePoint now);
   void Leave(TimePoint now);
--- a/packages/peers/include/cowslip/peers/watch_duty.h
+++ b/packages/peers/include/cowslip/peers/watch_duty.h
@@ -17,13 +17,16 @@
  public:
   /// Two, so that one that is cut off hides nothing.
   static constexpr std::size_t kWatchers = 2;
-  /// A watcher tells all balancers each time the store answers, which it does
-  /// once a second.
-  static constexpr std::chrono::milliseconds kWatcherSilence{1700};
+  /// What a watcher's news may take beyond the length of its watch.
+  static constexpr std::chrono::milliseconds kNewsSlack{700};
   /// Spread over which balancers step in, so that not all do at once.
   static constexpr std::chrono::milliseconds kStepInSpread{300};
 
-  explicit WatchDuty(InstanceAddress self) : self_(self) {}
+  /// @param watch_time a watcher tells all balancers each time the store
+  ///     answers, which is this often.
+  WatchDuty(InstanceAddress self, std::chrono::milliseconds watch_time,
+            TimePoint started)
+      : self_(self), silence_(watch_time + kNewsSlack), started_(started) {}
 
   void OnWatcher(InstanceAddress watcher, bool watching, TimePoint now);
   /// @return whether to watch now.
@@ -32,6 +35,8 @@
 
  private:
   InstanceAddress self_;
+  std::chrono::milliseconds silence_;
+  TimePoint started_;
   bool watching_ = false;
   std::map<InstanceAddress, TimePoint> heard_;
   TimePoint short_since_{};  ///< Since when there are too few watchers.
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -105,6 +105,7 @@
   News news;
   if (message.sender == self_.address) return news;
   news.config = message.config;
+  news.watching = message.watching;
   if (message.balancer) greeted_ = true;
   const auto verified = now - message.verified_age;
   if (message.verified_config != 0 && verified > verified_) {
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -24,6 +24,7 @@
   entry.open = raw.open();
   entry.left = raw.left();
   entry.upstream = raw.upstream();
+  entry.lease = raw.lease();
   return entry;
 }
 
@@ -49,7 +50,7 @@
     entries.push_back(wire::CreateEntryDirect(
         builder, entry.address, entry.balancer, entry.incarnation,
         entry.sequence, entry.service.c_str(), entry.open, entry.left,
-        entry.upstream));
+        entry.upstream, entry.lease));
   }
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config,
--- a/packages/peers/src/watch_duty.cc
+++ b/packages/peers/src/watch_duty.cc
@@ -13,7 +13,7 @@
 
 bool WatchDuty::Judge(TimePoint now) {
   std::erase_if(heard_, [&](const auto& entry) {
-    return now - entry.second > kWatcherSilence;
+    return now - entry.second > silence_;
   });
   if (watching_) {
     std::size_t before = 0;
@@ -23,7 +23,8 @@
     if (before >= kWatchers) watching_ = false;
     return watching_;
   }
-  if (heard_.size() >= kWatchers) {
+  // Whoever watches is heard within one silence after the start.
+  if (heard_.size() >= kWatchers || now - started_ < silence_) {
     short_ = false;
     return false;
   }
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -76,16 +76,20 @@
   bool BuildList(PendingPacket& pending, TimePoint now);
   void BuildOpeningList(const Service& service, std::uint64_t hash,
                         TimePoint now, SegmentFrame& frame);
-  void BuildSearchList(const Route& route, std::uint64_t hash,
+  void BuildSearchList(const Route& route, std::uint64_t hash, std::size_t skip,
                        SegmentFrame& frame);
-  void AppendRanked(ServiceTag service, std::uint64_t hash,
-                    SegmentFrame& frame);
+  void AppendRanked(ServiceTag service, std::uint64_t hash);
   void OnPassed(InstanceAddress sidecar, const Receipt& receipt, TimePoint now);
   /// Resets a lost flow if an upstream has a free slot for the next try.
   /// @return whether it was reset.
   bool ResetLost(const PendingPacket& pending, TimePoint now, Outbox& out);
+  /// Asks the members behind those of the list, or concludes the search.
+  /// @return whether the packet is kept.
+  bool SearchOn(PendingPacket& pending, TimePoint now, Outbox& out);
+  bool OfferAgain(PendingPacket& pending, TimePoint now, Outbox& out);
+  bool AskAgain(PendingPacket& pending, TimePoint now, Outbox& out);
   void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
-  bool CoversAllMembers(const Route& route, TimePoint now) const;
+  bool KnowsAllMembers(const Route& route, TimePoint now) const;
   void Report(std::string_view what, std::string_view reason,
               const FlowKey& flow, InstanceAddress instance = 0,
               std::uint32_t place = 0, std::uint32_t wait_us = 0);
@@ -99,6 +103,7 @@
   ContactBook contacts_;
   flow::HintCache hints_;
   flow::Ranking ranking_;
+  std::vector<InstanceAddress> search_order_;
   PendingPackets pending_;
   BalancerStats stats_;
 };
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -18,6 +18,10 @@
   std::uint8_t next_hop = 0;  ///< Where the next repetition starts.
   /// The sidecar that has not said yet that it has got the packet.
   InstanceAddress waiting_for = 0;
+  /// Members ahead of the list that were asked for the flow.
+  std::size_t searched = 0;
+  /// Some member may hold the flow without having said so.
+  bool uncertain = false;
   /// All members have said once that they don't hold its flow.
   bool unheld_once = false;
   /// Nobody holds the flow; it is reset when its caller's next try has room.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -19,8 +19,9 @@
 constexpr std::chrono::milliseconds kConfirmAfter{25};
 /// Callers give an attempt up 1.4 s after its first packet.
 constexpr std::chrono::milliseconds kOpeningLifetime{1200};
-/// Callers repeat a packet after 200 ms themselves.
-constexpr std::chrono::milliseconds kSearchLifetime{180};
+/// A search visits 12 members in some 20 ms; with 60 members and one that is
+/// silent it ends within this time.
+constexpr std::chrono::milliseconds kSearchLifetime{600};
 /// Packets watched at the same time; a few hundred flows change their balancer
 /// when one joins.
 constexpr std::size_t kMaxPending = 1024;
@@ -196,8 +197,11 @@
     if (service == services_.end()) return false;
     BuildOpeningList(service->second, hash, now, frame);
   } else {
-    BuildSearchList(*route, hash, frame);
+    frame.inconclusive = false;
+    BuildSearchList(*route, hash, pending.searched, frame);
+    pending.uncertain |= frame.inconclusive;
   }
+  pending.next_hop = segment.opens() ? pending.next_hop : 0;
   return frame.hop_count > 0;
 }
 
@@ -229,21 +233,31 @@
   }
 }
 
+/// Lists all members that may hold a flow, the likeliest first, and puts a part
+/// of them on the frame.
 void Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
-                               SegmentFrame& frame) {
-  AppendRanked(route.Choose(hash), hash, frame);
-  for (const auto& target : route.targets) {
-    AppendRanked(target.service, hash, frame);
+                               std::size_t skip, SegmentFrame& frame) {
+  search_order_.clear();
+  AppendRanked(route.Choose(hash), hash);
+  for (const auto& target : route.targets) AppendRanked(target.service, hash);
+  for (const auto& former : route.former) AppendRanked(former, hash);
+  for (auto i = skip; i < search_order_.size(); ++i) {
+    Append(frame, search_order_[i]);
   }
-  for (const auto& former : route.former) AppendRanked(former, hash, frame);
   LeaveOutSilent(contacts_, frame);
 }
 
 void Balancer::Send(PendingPacket& pending, TimePoint now, Outbox& out) {
   auto frame = pending.frame;
-  const auto start = pending.next_hop % frame.hop_count;
-  std::rotate(frame.hops.begin(), frame.hops.begin() + start,
-              frame.hops.begin() + frame.hop_count);
+  auto* const begin = frame.hops.begin();
+  auto* const end = begin + frame.hop_count;
+  if (pending.segment.opens()) {
+    std::rotate(begin, begin + pending.next_hop % frame.hop_count, end);
+  } else {
+    // Those ahead were asked already.
+    std::copy(begin + pending.next_hop, end, begin);
+    frame.hop_count -= pending.next_hop;
+  }
   frame.config = routes_->version;
   frame.balancer = self_;
   frame.searched = true;
@@ -253,29 +267,30 @@
   out.SendFrame(frame.hops[0], frame, pending.packet);
 }
 
-void Balancer::AppendRanked(ServiceTag tag, std::uint64_t hash,
-                            SegmentFrame& frame) {
+void Balancer::AppendRanked(ServiceTag tag, std::uint64_t hash) {
   const auto service = services_.find(tag);
   if (service == services_.end()) return;
   ranking_.Build(service->second.ranked, hash);
   for (const auto* upstream : ranking_.order()) {
-    Append(frame, Raw(upstream->id));
+    const auto sidecar = Raw(upstream->id);
+    const bool listed = std::find(search_order_.begin(), search_order_.end(),
+                                  sidecar) != search_order_.end();
+    if (!listed) search_order_.push_back(sidecar);
   }
 }
 
 void Balancer::OnContinuing(const Segment& segment, ByteView packet,
                             const Route& route, TimePoint now, Outbox& out) {
-  const auto lost = pending_.find(segment.flow);
-  if (lost != pending_.end() && lost->second.lost) return;
+  const auto search = pending_.find(segment.flow);
+  const bool searching =
+      search != pending_.end() && !search->second.segment.opens();
+  if (searching && search->second.lost) return;
   const auto hash = HashFlow(segment.flow);
-  PendingPacket pending;
-  pending.segment = segment;
-  auto& frame = pending.frame;
-  frame.service = route.Choose(hash);
   const auto hint = hints_.Find(segment.flow, hash, now);
-  if (!hint) {
-    BuildSearchList(route, hash, frame);
-    if (frame.hop_count == 0) {
+  if (!hint && !searching) {
+    PendingPacket pending;
+    pending.segment = segment;
+    if (!BuildList(pending, now)) {
       ++stats_.no_member;
       return;
     }
@@ -283,11 +298,14 @@
     Search(std::move(pending), now, out);
     return;
   }
-  Append(frame, Raw(*hint));
-  BuildSearchList(route, hash, frame);
+  SegmentFrame frame;
+  frame.service = route.Choose(hash);
+  if (hint) Append(frame, Raw(*hint));
+  BuildSearchList(route, hash, searching ? search->second.searched : 0, frame);
+  if (frame.hop_count == 0) return;
   frame.config = routes_->version;
   frame.balancer = self_;
-  out.SendFrame(Raw(*hint), frame, packet);
+  out.SendFrame(frame.hops[0], frame, packet);
 }
 
 void Balancer::OnReceipt(InstanceAddress sidecar, const Receipt& receipt,
@@ -335,22 +353,18 @@
       static_cast<std::uint8_t>(place - frame.hops.begin() + 1);
 }
 
-bool Balancer::CoversAllMembers(const Route& route, TimePoint now) const {
-  std::size_t members = 0;
+/// @return whether no member of a route can be unknown here.
+bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
+  if (!complete_since_ || now - *complete_since_ < kNewsTime) return false;
   const auto settled = [&](ServiceTag tag) {
     const auto service = services_.find(tag);
-    if (service == services_.end()) return true;
-    members += service->second.ranked.size();
-    return now - service->second.joined >= kSettledAfter;
+    return service == services_.end() ||
+           now - service->second.joined >= kSettledAfter;
   };
-  if (!complete_since_ || now - *complete_since_ < kNewsTime) return false;
-  for (const auto& target : route.targets) {
-    if (!settled(target.service)) return false;
-  }
-  for (const auto& former : route.former) {
-    if (!settled(former)) return false;
-  }
-  return members <= kMaxHops;
+  return std::all_of(
+             route.targets.begin(), route.targets.end(),
+             [&](const auto& target) { return settled(target.service); }) &&
+         std::all_of(route.former.begin(), route.former.end(), settled);
 }
 
 void Balancer::OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out) {
@@ -364,25 +378,31 @@
   }
   ++stats_.unheld;
   hints_.Forget(receipt.flow, HashFlow(receipt.flow));
-  if (found == pending_.end()) return;
+  if (found == pending_.end() || found->second.lost) return;
   auto& pending = found->second;
-  const auto* route = routes_->Find(receipt.flow.service);
-  const bool conclusive = receipt.verdict == Verdict::kUnheld &&
-                          route != nullptr && CoversAllMembers(*route, now);
-  if (!conclusive) {
-    pending_.erase(found);
-    return;
+  if (receipt.verdict == Verdict::kUnknown) pending.uncertain = true;
+  if (!SearchOn(pending, now, out)) pending_.erase(found);
+}
+
+bool Balancer::SearchOn(PendingPacket& pending, TimePoint now, Outbox& out) {
+  pending.waiting_for = 0;
+  pending.searched += kMaxHops;
+  if (BuildList(pending, now)) {
+    Send(pending, now, out);
+    return true;
   }
+  const auto* route = routes_->Find(pending.segment.flow.service);
+  const bool certain =
+      !pending.uncertain && route != nullptr && KnowsAllMembers(*route, now);
+  if (!certain) return false;
   if (!pending.unheld_once) {
     pending.unheld_once = true;
-    pending.waiting_for = 0;
     pending.due = now + kConfirmAfter;
-    return;
+    return true;
   }
   pending.lost = true;
-  pending.waiting_for = 0;
   pending.due = now + kRoomInterval;
-  if (ResetLost(pending, now, out)) pending_.erase(found);
+  return !ResetLost(pending, now, out);
 }
 
 bool Balancer::ResetLost(const PendingPacket& pending, TimePoint now,
@@ -402,6 +422,52 @@
   return true;
 }
 
+/// Offers an opening that was not taken to the next sidecar, or to all in an
+/// order that follows the load.
+bool Balancer::OfferAgain(PendingPacket& pending, TimePoint now, Outbox& out) {
+  if (now - pending.since > kOpeningLifetime) {
+    ++stats_.given_up;
+    Report("give_up", "no_member_took_it", pending.segment.flow);
+    return false;
+  }
+  if (BuildList(pending, now)) {
+    ++stats_.resent;
+    Send(pending, now, out);
+    return true;
+  }
+  if (!StillLearning(pending.segment, now)) {
+    Refuse(pending.segment, out);
+    return false;
+  }
+  pending.due = now + kOfferInterval;
+  return true;
+}
+
+/// Goes on with a search behind a sidecar that didn't answer, or confirms one
+/// that found nobody.
+bool Balancer::AskAgain(PendingPacket& pending, TimePoint now, Outbox& out) {
+  if (now - pending.since > kSearchLifetime) {
+    ++stats_.given_up;
+    return false;
+  }
+  ++stats_.resent;
+  const bool confirm = pending.unheld_once && pending.waiting_for == 0;
+  if (confirm) {
+    // Whoever has become known since is likely to rank among the first.
+    pending.searched = 0;
+    if (!BuildList(pending, now)) return false;
+    Send(pending, now, out);
+    pending.searched = search_order_.size();
+    return true;
+  }
+  pending.uncertain = true;
+  if (pending.next_hop < pending.frame.hop_count) {
+    Send(pending, now, out);
+    return true;
+  }
+  return SearchOn(pending, now, out);
+}
+
 void Balancer::OnTick(TimePoint now, Outbox& out) {
   for (auto entry = pending_.begin(); entry != pending_.end();) {
     auto& pending = entry->second;
@@ -425,30 +491,9 @@
       }
       continue;
     }
-    const auto lifetime =
-        pending.segment.opens() ? kOpeningLifetime : kSearchLifetime;
-    if (now - pending.since > lifetime) {
-      ++stats_.given_up;
-      Report("give_up", "no_member_took_it", flow);
-      entry = pending_.erase(entry);
-      continue;
-    }
-    ++stats_.resent;
-    // The order of an opening's list follows the load; a search goes on where
-    // it stood.
-    if (!pending.segment.opens() && !pending.unheld_once) {
-      Send(pending, now, out);
-      ++entry;
-    } else if (BuildList(pending, now)) {
-      Send(pending, now, out);
-      ++entry;
-    } else if (StillLearning(pending.segment, now)) {
-      pending.due = now + kOfferInterval;
-      ++entry;
-    } else {
-      if (pending.segment.opens()) Refuse(pending.segment, out);
-      entry = pending_.erase(entry);
-    }
+    const bool kept = pending.segment.opens() ? OfferAgain(pending, now, out)
+                                              : AskAgain(pending, now, out);
+    entry = kept ? std::next(entry) : pending_.erase(entry);
   }
   for (const auto sidecar : contacts_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
