--- a/packages/platform/include/cowslip/platform/platform_error.h
+++ b/packages/consul/include/cowslip/consul/consul_error.h
@@ -2,10 +2,10 @@
 
 #include <string_view>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// Why a call to the store gave no result.
-enum class PlatformError {
+enum class ConsulError {
   kOk = 0,
   /// The options are unusable.
   kBadOptions,
@@ -27,9 +27,9 @@
 };
 
 /// @return a short English text.
-std::string_view ErrorMessage(PlatformError error);
+std::string_view ErrorMessage(ConsulError error);
 
 /// @return whether a write that failed with this error may have taken effect.
-bool MayHaveTakenEffect(PlatformError error);
+bool MayHaveTakenEffect(ConsulError error);
 
 }  // namespace cowslip::platform
--- a/packages/platform/include/cowslip/platform/key_value.h
+++ b/packages/consul/include/cowslip/consul/key_value.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <string>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// One entry of the store.
 struct KeyValue {
--- a/packages/platform/include/cowslip/platform/results.h
+++ b/packages/consul/include/cowslip/consul/results.h
@@ -5,9 +5,9 @@
 #include <string>
 #include <vector>
 
-#include "cowslip/platform/key_value.h"
+#include "cowslip/consul/key_value.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// Answer to a read of one key.
 struct GetResult {
--- a/packages/platform/include/cowslip/platform/store_call_stats.h
+++ b/packages/consul/include/cowslip/consul/store_call_stats.h
@@ -2,7 +2,7 @@
 
 #include <cstdint>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// What a client has cost the store so far.
 struct StoreCallStats {
--- a/packages/platform/include/cowslip/platform/store_client.h
+++ b/packages/consul/include/cowslip/consul/store_client.h
@@ -8,12 +8,12 @@
 #include <string_view>
 
 #include "cowslip/base/last_reason.h"
-#include "cowslip/platform/platform_error.h"
-#include "cowslip/platform/results.h"
-#include "cowslip/platform/store_call_stats.h"
-#include "cowslip/platform/store_client_options.h"
+#include "cowslip/consul/consul_error.h"
+#include "cowslip/consul/results.h"
+#include "cowslip/consul/store_call_stats.h"
+#include "cowslip/consul/store_client_options.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 class HttpTransport;
 class StoreUrl;
@@ -26,7 +26,7 @@
 /// sent to the one before.
 class StoreClient {
  public:
-  using Reason = LastReason<PlatformError>;
+  using Reason = LastReason<ConsulError>;
 
   /// @return std::nullopt if the options are unusable.
   static std::optional<StoreClient> Create(const StoreClientOptions& options,
--- a/packages/platform/include/cowslip/platform/store_client_options.h
+++ b/packages/consul/include/cowslip/consul/store_client_options.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <vector>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// How to reach the store.
 struct StoreClientOptions {
--- a/packages/platform/include/cowslip/platform/store_url.h
+++ b/packages/consul/include/cowslip/consul/store_url.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// Builds the path and query of a store request.
 class StoreUrl {
--- a/packages/platform/src/answer_parser.cc
+++ b/packages/consul/src/answer_parser.cc
@@ -2,9 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "cowslip/platform/base64.h"
+#include "cowslip/base.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 namespace {
 
 using Json = nlohmann::json;
@@ -40,10 +40,10 @@
 }  // namespace
 
 std::optional<std::vector<KeyValue>> ParseKeyValues(
-    std::string_view body, LastReason<PlatformError>& reason) {
+    std::string_view body, LastReason<ConsulError>& reason) {
   const auto json = Json::parse(body, nullptr, false);
   if (!json.is_array()) {
-    reason.Set(PlatformError::kBadAnswer, "not an array of entries");
+    reason.Set(ConsulError::kBadAnswer, "not an array of entries");
     return std::nullopt;
   }
   std::vector<KeyValue> values;
@@ -51,7 +51,7 @@
   for (const auto& entry : json) {
     auto value = ParseKeyValue(entry);
     if (!value) {
-      reason.Set(PlatformError::kBadAnswer,
+      reason.Set(ConsulError::kBadAnswer,
                  "entry " + std::to_string(values.size()));
       return std::nullopt;
     }
@@ -61,22 +61,22 @@
 }
 
 std::optional<Session> ParseSession(std::string_view body,
-                                    LastReason<PlatformError>& reason) {
+                                    LastReason<ConsulError>& reason) {
   const auto json = Json::parse(body, nullptr, false);
   const bool has_id =
       json.is_object() && json.contains("ID") && json["ID"].is_string();
   if (!has_id) {
-    reason.Set(PlatformError::kBadAnswer, "no session id");
+    reason.Set(ConsulError::kBadAnswer, "no session id");
     return std::nullopt;
   }
   return Session{json["ID"].get<std::string>()};
 }
 
 std::optional<CasResult> ParseWriteResult(std::string_view body,
-                                          LastReason<PlatformError>& reason) {
+                                          LastReason<ConsulError>& reason) {
   const auto json = Json::parse(body, nullptr, false);
   if (!json.is_boolean()) {
-    reason.Set(PlatformError::kBadAnswer, "not a boolean");
+    reason.Set(ConsulError::kBadAnswer, "not a boolean");
     return std::nullopt;
   }
   return CasResult{json.get<bool>()};
--- a/packages/platform/src/answer_parser.h
+++ b/packages/consul/src/answer_parser.h
@@ -5,21 +5,21 @@
 #include <vector>
 
 #include "cowslip/base/last_reason.h"
-#include "cowslip/platform/platform_error.h"
-#include "cowslip/platform/results.h"
+#include "cowslip/consul/consul_error.h"
+#include "cowslip/consul/results.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// @param body JSON array of entries.
 std::optional<std::vector<KeyValue>> ParseKeyValues(
-    std::string_view body, LastReason<PlatformError>& reason);
+    std::string_view body, LastReason<ConsulError>& reason);
 
 /// @param body JSON object with an ID.
 std::optional<Session> ParseSession(std::string_view body,
-                                    LastReason<PlatformError>& reason);
+                                    LastReason<ConsulError>& reason);
 
 /// @param body "true" or "false".
 std::optional<CasResult> ParseWriteResult(std::string_view body,
-                                          LastReason<PlatformError>& reason);
+                                          LastReason<ConsulError>& reason);
 
 }  // namespace cowslip::platform
--- a/packages/platform/src/curl_handles.h
+++ b/packages/consul/src/curl_handles.h
@@ -4,7 +4,7 @@
 
 #include <memory>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 struct CurlEasyDeleter {
   void operator()(CURL* handle) const { curl_easy_cleanup(handle); }
--- a/packages/platform/src/http_answer.h
+++ b/packages/consul/src/http_answer.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// A complete HTTP answer.
 struct HttpAnswer {
--- a/packages/platform/src/http_request.h
+++ b/packages/consul/src/http_request.h
@@ -3,7 +3,7 @@
 #include <chrono>
 #include <string_view>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// One request to the store.
 struct HttpRequest {
--- a/packages/platform/src/http_transport.cc
+++ b/packages/consul/src/http_transport.cc
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <mutex>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 namespace {
 
 constexpr std::string_view kIndexHeader = "X-Consul-Index:";
@@ -59,7 +59,7 @@
     const StoreClientOptions& options, Reason& reason) {
   if (options.urls.empty() ||
       options.timeout <= std::chrono::milliseconds::zero()) {
-    reason.Set(PlatformError::kBadOptions,
+    reason.Set(ConsulError::kBadOptions,
                options.urls.empty() ? "no URL" : "timeout");
     return nullptr;
   }
@@ -67,7 +67,7 @@
   CurlEasy easy(curl_easy_init());
   CurlMulti multi(curl_multi_init());
   if (!easy || !multi) {
-    reason.Set(PlatformError::kBadOptions, "libcurl");
+    reason.Set(ConsulError::kBadOptions, "libcurl");
     return nullptr;
   }
   return std::unique_ptr<HttpTransport>(
@@ -85,7 +85,7 @@
                                                  Reason& reason) {
   for (std::size_t attempt = 0; attempt < options_.urls.size(); ++attempt) {
     auto answer = PerformOnce(request, reason);
-    if (answer || reason.code() != PlatformError::kUnavailable) return answer;
+    if (answer || reason.code() != ConsulError::kUnavailable) return answer;
     url_index_ = (url_index_ + 1) % options_.urls.size();
   }
   return std::nullopt;
@@ -98,7 +98,7 @@
   const auto code = Run();
   CountCall();
   if (!code) {
-    reason.Set(PlatformError::kCancelled, url_);
+    reason.Set(ConsulError::kCancelled, url_);
     return std::nullopt;
   }
   if (*code != CURLE_OK) {
@@ -174,10 +174,10 @@
       static_cast<std::uint64_t>(GetInfo(CURLINFO_HEADER_SIZE) + downloaded);
 }
 
-PlatformError HttpTransport::Classify(CURLcode code) const {
-  if (GetInfo(CURLINFO_REQUEST_SIZE) == 0) return PlatformError::kUnavailable;
-  if (code == CURLE_OPERATION_TIMEDOUT) return PlatformError::kTimeout;
-  return PlatformError::kAnswerLost;
+ConsulError HttpTransport::Classify(CURLcode code) const {
+  if (GetInfo(CURLINFO_REQUEST_SIZE) == 0) return ConsulError::kUnavailable;
+  if (code == CURLE_OPERATION_TIMEDOUT) return ConsulError::kTimeout;
+  return ConsulError::kAnswerLost;
 }
 
 void HttpTransport::Cancel() {
--- a/packages/platform/src/http_transport.h
+++ b/packages/consul/src/http_transport.h
@@ -6,19 +6,19 @@
 #include <string>
 
 #include "cowslip/base/last_reason.h"
-#include "cowslip/platform/platform_error.h"
-#include "cowslip/platform/store_call_stats.h"
-#include "cowslip/platform/store_client_options.h"
+#include "cowslip/consul/consul_error.h"
+#include "cowslip/consul/store_call_stats.h"
+#include "cowslip/consul/store_client_options.h"
 #include "curl_handles.h"
 #include "http_answer.h"
 #include "http_request.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 
 /// Sends requests to the first base URL that answers.
 class HttpTransport {
  public:
-  using Reason = LastReason<PlatformError>;
+  using Reason = LastReason<ConsulError>;
 
   /// @return nullptr if the options are unusable.
   static std::unique_ptr<HttpTransport> Create(
@@ -47,7 +47,7 @@
   /// @return the value of a numeric property of the last transfer.
   std::int64_t GetInfo(CURLINFO info) const;
   void CountCall();
-  PlatformError Classify(CURLcode code) const;
+  ConsulError Classify(CURLcode code) const;
 
   StoreClientOptions options_;
   CurlMulti multi_;
--- a/packages/platform/src/store_client.cc
+++ b/packages/consul/src/store_client.cc
@@ -1,10 +1,10 @@
-#include "cowslip/platform/store_client.h"
+#include "cowslip/consul/store_client.h"
 
 #include "answer_parser.h"
-#include "cowslip/platform/store_url.h"
+#include "cowslip/consul/store_url.h"
 #include "http_transport.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 namespace {
 
 using std::chrono::milliseconds;
@@ -13,16 +13,16 @@
 constexpr int kWaitJitterDivisor = 16;
 
 /// @return whether the status is a success; sets the reason if not.
-bool CheckStatus(const HttpAnswer& answer, LastReason<PlatformError>& reason) {
+bool CheckStatus(const HttpAnswer& answer, LastReason<ConsulError>& reason) {
   constexpr int kFirstSuccess = 200;
   constexpr int kFirstRedirect = 300;
   constexpr int kFirstClientError = 400;
   constexpr int kFirstServerError = 500;
   const auto status = answer.status;
   if (status >= kFirstSuccess && status < kFirstRedirect) return true;
-  auto error = PlatformError::kBadAnswer;
-  if (status >= kFirstClientError) error = PlatformError::kRefused;
-  if (status >= kFirstServerError) error = PlatformError::kServerError;
+  auto error = ConsulError::kBadAnswer;
+  if (status >= kFirstClientError) error = ConsulError::kRefused;
+  if (status >= kFirstServerError) error = ConsulError::kServerError;
   reason.Set(error, "status " + std::to_string(status) + " " + answer.body);
   return false;
 }
@@ -145,7 +145,7 @@
   const auto answer = Read(url, wait, reason);
   if (!answer) return std::nullopt;
   if (!answer->index) {
-    reason.Set(PlatformError::kBadAnswer, "no X-Consul-Index");
+    reason.Set(ConsulError::kBadAnswer, "no X-Consul-Index");
     return std::nullopt;
   }
   if (answer->status == kNotFound) return ListResult{{}, *answer->index};
--- a/packages/platform/src/store_url.cc
+++ b/packages/consul/src/store_url.cc
@@ -1,6 +1,6 @@
-#include "cowslip/platform/store_url.h"
+#include "cowslip/consul/store_url.h"
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 namespace {
 
 constexpr std::string_view kUnreserved =
--- a/packages/ctl/src/ticket_commands.cc
+++ b/packages/ctl/src/ticket_commands.cc
@@ -22,12 +22,12 @@
 
 std::optional<TicketRegistry> OpenRegistry(
     const settings::CtlSettings& settings) {
-  platform::StoreClientOptions options;
+  consul::StoreClientOptions options;
   options.urls = settings.store.urls;
   options.timeout = settings.store.timeout;
   options.token = settings.store.token;
-  LastReason<platform::PlatformError> reason;
-  auto client = platform::StoreClient::Create(options, reason);
+  LastReason<consul::ConsulError> reason;
+  auto client = consul::StoreClient::Create(options, reason);
   if (client) return TicketRegistry(std::move(*client));
   std::cerr << reason.Message() << "\n";
   return std::nullopt;
--- a/packages/daemon/include/cowslip/daemon/announcer.h
+++ b/packages/daemon/include/cowslip/daemon/announcer.h
@@ -6,7 +6,7 @@
 
 #include "cowslip/daemon/daemon_error.h"
 #include "cowslip/membership.h"
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "cowslip/settings.h"
 
 namespace cowslip::daemon {
@@ -53,7 +53,7 @@
   };
 
   Announcer(const settings::DaemonSettings& settings,
-            platform::StoreClient client);
+            consul::StoreClient client);
   std::optional<Stored> Read(const std::string& key,
                              LastReason<DaemonError>& reason);
   bool IsOwn(const Stored& stored) const;
@@ -68,7 +68,7 @@
   std::string key_;
   membership::Announcement announcement_;
   Incarnation attempted_{};  ///< Highest incarnation tried to claim.
-  platform::StoreClient client_;
+  consul::StoreClient client_;
 };
 
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/announcer.cc
+++ b/packages/daemon/src/announcer.cc
@@ -13,15 +13,15 @@
 
 std::optional<Announcer> Announcer::Create(
     const settings::DaemonSettings& settings, LastReason<DaemonError>& reason) {
-  LastReason<platform::PlatformError> fault;
-  auto client = platform::StoreClient::Create(ToOptions(settings.store), fault);
+  LastReason<consul::ConsulError> fault;
+  auto client = consul::StoreClient::Create(ToOptions(settings.store), fault);
   if (client) return Announcer(settings, std::move(*client));
   reason.Set(DaemonError::kStore, fault.Message());
   return std::nullopt;
 }
 
 Announcer::Announcer(const settings::DaemonSettings& settings,
-                     platform::StoreClient client)
+                     consul::StoreClient client)
     : client_(std::move(client)) {
   const auto& own = *settings.sidecar;
   auto& upstream = announcement_.upstream;
@@ -38,7 +38,7 @@
 
 std::optional<Announcer::Stored> Announcer::Read(
     const std::string& key, LastReason<DaemonError>& reason) {
-  LastReason<platform::PlatformError> fault;
+  LastReason<consul::ConsulError> fault;
   const auto found = client_.Get(key, fault);
   if (!found) {
     reason.Set(DaemonError::kStore, fault.Message());
@@ -55,7 +55,7 @@
                                      const Announcement& announcement,
                                      std::uint64_t index,
                                      LastReason<DaemonError>& reason) {
-  LastReason<platform::PlatformError> fault;
+  LastReason<consul::ConsulError> fault;
   const auto result = client_.PutCas(
       key, membership::EncodeAnnouncement(announcement), index, fault);
   if (result && result->applied) return true;
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -56,10 +56,10 @@
 bool ControlThread::Open(const settings::DaemonSettings& settings,
                          LastReason<DaemonError>& reason) {
   const auto options = ToNodeOptions(settings);
-  LastReason<platform::PlatformError> fault;
+  LastReason<consul::ConsulError> fault;
   auto watcher =
-      platform::StoreClient::Create(ToOptions(settings.store), fault);
-  auto caller = platform::StoreClient::Create(ToOptions(settings.store), fault);
+      consul::StoreClient::Create(ToOptions(settings.store), fault);
+  auto caller = consul::StoreClient::Create(ToOptions(settings.store), fault);
   if (!watcher || !caller) {
     reason.Set(DaemonError::kStore, fault.Message());
     return false;
--- a/packages/daemon/src/store_calls.cc
+++ b/packages/daemon/src/store_calls.cc
@@ -12,7 +12,7 @@
 constexpr milliseconds kMaxRetry{30'000};
 
 std::vector<relay::Peer> ToPeers(
-    const std::vector<platform::KeyValue>& records) {
+    const std::vector<consul::KeyValue>& records) {
   std::vector<relay::Peer> peers;
   for (const auto& record : records) {
     LastReason<relay::RelayError> reason;
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-StoreCalls::StoreCalls(platform::StoreClient client, Mailbox& mailbox,
+StoreCalls::StoreCalls(consul::StoreClient client, Mailbox& mailbox,
                        const relay::Peer& self, bool record, std::uint64_t seed)
     : client_(std::move(client)),
       mailbox_(mailbox),
@@ -82,7 +82,7 @@
 }
 
 bool StoreCalls::CallPeers() {
-  LastReason<platform::PlatformError> reason;
+  LastReason<consul::ConsulError> reason;
   const auto result =
       client_.List(relay::InstancePrefix(self_.data_center), reason);
   if (!result) {
@@ -94,13 +94,13 @@
   return !record_ || WriteRecord(result->values);
 }
 
-bool StoreCalls::WriteRecord(const std::vector<platform::KeyValue>& records) {
+bool StoreCalls::WriteRecord(const std::vector<consul::KeyValue>& records) {
   const auto key = relay::InstanceKey(self_);
   const auto value = relay::EncodePeer(self_);
   for (const auto& record : records) {
     if (record.key == key && record.value == value) return true;
   }
-  LastReason<platform::PlatformError> reason;
+  LastReason<consul::ConsulError> reason;
   if (client_.Put(key, value, reason)) return true;
   telemetry::Log(telemetry::Level::kWarn, "instance_not_recorded",
                  {{"reason", reason.Message()}});
@@ -108,7 +108,7 @@
 }
 
 void StoreCalls::CallTickets() {
-  LastReason<platform::PlatformError> reason;
+  LastReason<consul::ConsulError> reason;
   // The snapshot is read after the tickets that it may have replaced.
   const auto tickets = client_.List(ticket::TicketPrefix(), reason);
   const auto snapshot =
--- a/packages/daemon/src/store_calls.h
+++ b/packages/daemon/src/store_calls.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <thread>
 
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "mailbox.h"
 #include "retry_timer.h"
 
@@ -16,7 +16,7 @@
  public:
   /// @param record whether the process's own instance record is written when
   ///     peers are read and it is missing or differs.
-  StoreCalls(platform::StoreClient client, Mailbox& mailbox,
+  StoreCalls(consul::StoreClient client, Mailbox& mailbox,
              const relay::Peer& self, bool record, std::uint64_t seed);
   ~StoreCalls();
 
@@ -32,10 +32,10 @@
   /// @return whether it needn't be repeated.
   bool CallPeers();
   void CallTickets();
-  bool WriteRecord(const std::vector<platform::KeyValue>& records);
+  bool WriteRecord(const std::vector<consul::KeyValue>& records);
   void Count();
 
-  platform::StoreClient client_;
+  consul::StoreClient client_;
   Mailbox& mailbox_;
   relay::Peer self_;
   bool record_;
--- a/packages/daemon/src/store_listing.cc
+++ b/packages/daemon/src/store_listing.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// @return the number that the snapshot states, 0 if it can't be read.
-TicketNumber SnapshotNumber(const platform::KeyValue& entry) {
+TicketNumber SnapshotNumber(const consul::KeyValue& entry) {
   LastReason<ticket::TicketError> reason;
   const auto snapshot = ticket::ParseSnapshot(entry.value, entry.key, reason);
   if (snapshot) return snapshot->number;
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-relay::Listing ToListing(const platform::ListResult& result) {
+relay::Listing ToListing(const consul::ListResult& result) {
   relay::Listing listing;
   listing.index = result.index;
   for (const auto& entry : result.values) {
--- a/packages/daemon/src/store_listing.h
+++ b/packages/daemon/src/store_listing.h
@@ -2,7 +2,7 @@
 
 #include <vector>
 
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "cowslip/relay.h"
 
 namespace cowslip::daemon {
@@ -11,6 +11,6 @@
 inline constexpr std::string_view kStoreRoot = "cowslip/";
 
 /// Sorts a listing of the store into tickets, in order, and items.
-relay::Listing ToListing(const platform::ListResult& result);
+relay::Listing ToListing(const consul::ListResult& result);
 
 }  // namespace cowslip::daemon
--- a/packages/daemon/src/store_options.h
+++ b/packages/daemon/src/store_options.h
@@ -1,13 +1,13 @@
 #pragma once
 
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "cowslip/settings.h"
 
 namespace cowslip::daemon {
 
-inline platform::StoreClientOptions ToOptions(
+inline consul::StoreClientOptions ToOptions(
     const settings::StoreSettings& store) {
-  platform::StoreClientOptions options;
+  consul::StoreClientOptions options;
   options.urls = store.urls;
   options.timeout = store.timeout;
   options.token = store.token;
--- a/packages/daemon/src/store_watch.cc
+++ b/packages/daemon/src/store_watch.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-StoreWatch::StoreWatch(platform::StoreClient client, Mailbox& mailbox,
+StoreWatch::StoreWatch(consul::StoreClient client, Mailbox& mailbox,
                        std::uint64_t seed)
     : client_(std::move(client)),
       mailbox_(mailbox),
@@ -54,14 +54,14 @@
 }
 
 void StoreWatch::WatchOnce(std::uint64_t& index) {
-  LastReason<platform::PlatformError> reason;
+  LastReason<consul::ConsulError> reason;
   const auto result =
       index == 0 ? client_.List(kStoreRoot, reason)
                  : client_.WatchList(kStoreRoot, index, kWatchWait, reason);
   calls_ = client_.stats().calls;
   bytes_ = client_.stats().bytes_in + client_.stats().bytes_out;
   if (!result) {
-    if (reason.code() == platform::PlatformError::kCancelled) return;
+    if (reason.code() == consul::ConsulError::kCancelled) return;
     reachable_ = false;
     // A listing, which comes at once, tells that the store is back.
     index = 0;
--- a/packages/daemon/src/store_watch.h
+++ b/packages/daemon/src/store_watch.h
@@ -5,7 +5,7 @@
 #include <mutex>
 #include <thread>
 
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "mailbox.h"
 #include "retry_timer.h"
 
@@ -14,7 +14,7 @@
 /// Holds the watch of the store, on a thread of its own, while it is wanted.
 class StoreWatch {
  public:
-  StoreWatch(platform::StoreClient client, Mailbox& mailbox,
+  StoreWatch(consul::StoreClient client, Mailbox& mailbox,
              std::uint64_t seed);
   ~StoreWatch();
 
@@ -29,7 +29,7 @@
   void WatchOnce(std::uint64_t& index);
   void WaitToRetry();
 
-  platform::StoreClient client_;
+  consul::StoreClient client_;
   Mailbox& mailbox_;
   RetryTimer retry_;
   std::mutex mutex_;
--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -91,6 +91,7 @@
  private:
   void TellSelf();
   void Announce(const PeerEntry& entry);
+  void TellPredecessor(const PeerEntry& entry);
   Message MakeMessage(TimePoint now) const;
   void SendAll(InstanceAddress to, bool to_balancer, TimePoint now);
   std::vector<InstanceAddress> PickBalancers(std::size_t count);
--- a/packages/peers/include/cowslip/peers/watch_duty.h
+++ b/packages/peers/include/cowslip/peers/watch_duty.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 
 #include "cowslip/base.h"
 #include "cowslip/peers/peer_entry.h"
@@ -17,6 +18,8 @@
  public:
   /// Two, so that one that is cut off hides nothing.
   static constexpr std::size_t kWatchers = 2;
+  /// What the answer to a watch may take beyond its length.
+  static constexpr std::chrono::milliseconds kAnswerSlack{300};
   /// What a watcher's news may take beyond the length of its watch.
   static constexpr std::chrono::milliseconds kNewsSlack{700};
   /// Spread over which balancers step in, so that not all do at once.
@@ -26,18 +29,29 @@
   ///     answers, which is this often.
   WatchDuty(InstanceAddress self, std::chrono::milliseconds watch_time,
             TimePoint started)
-      : self_(self), silence_(watch_time + kNewsSlack), started_(started) {}
+      : self_(self), watch_time_(watch_time), started_(started) {}
 
   void OnWatcher(InstanceAddress watcher, bool watching, TimePoint now);
   /// @return whether to watch now.
   bool Judge(TimePoint now);
   bool watching() const { return watching_; }
 
+  /// The store answered this balancer's watch or read.
+  void OnVerified(TimePoint now) { verified_ = now; }
+  /// A call of this balancer to the store failed.
+  void OnFailed() { verified_.reset(); }
+  /// @return whether others may rely on this balancer's watch: one that is cut
+  ///     off from the store goes on trying, but no longer counts as a watcher.
+  bool Reliable(TimePoint now) const {
+    return watching_ && verified_ && now - *verified_ < watch_time_ + kAnswerSlack;
+  }
+
  private:
   InstanceAddress self_;
-  std::chrono::milliseconds silence_;
+  std::chrono::milliseconds watch_time_;
   TimePoint started_;
   bool watching_ = false;
+  std::optional<TimePoint> verified_;
   std::map<InstanceAddress, TimePoint> heard_;
   TimePoint short_since_{};  ///< Since when there are too few watchers.
   bool short_ = false;
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -113,9 +113,10 @@
   }
   for (const auto& entry : message.entries) {
     const auto before = news.changed.size();
+    const bool direct = entry.address == message.sender;
+    if (self_.balancer && direct) TellPredecessor(entry);
     MergeEntry(entry, news);
     const bool changed = news.changed.size() > before;
-    const bool direct = entry.address == message.sender;
     if (self_.balancer && changed && direct) Announce(entry);
   }
   if (!self_.balancer) return news;
@@ -131,6 +132,15 @@
   return news;
 }
 
+/// Gives an instance that has started anew the entry of the process before it.
+void Gossip::TellPredecessor(const PeerEntry& entry) {
+  const auto* known = table_.Find(entry.address);
+  if (known == nullptr || known->incarnation == entry.incarnation) return;
+  auto message = MakeMessage(now_);
+  message.entries.push_back(*known);
+  outgoing_.push_back({entry.address, std::move(message)});
+}
+
 void Gossip::SendAll(InstanceAddress to, bool to_balancer, TimePoint now) {
   auto& synced = synced_[to];
   if (synced != TimePoint{} && now - synced < kSyncInterval) return;
--- a/packages/peers/src/watch_duty.cc
+++ b/packages/peers/src/watch_duty.cc
@@ -12,8 +12,9 @@
 }
 
 bool WatchDuty::Judge(TimePoint now) {
+  const auto silence = watch_time_ + kNewsSlack;
   std::erase_if(heard_, [&](const auto& entry) {
-    return now - entry.second > silence_;
+    return now - entry.second > silence;
   });
   if (watching_) {
     std::size_t before = 0;
@@ -24,7 +25,7 @@
     return watching_;
   }
   // Whoever watches is heard within one silence after the start.
-  if (heard_.size() >= kWatchers || now - started_ < silence_) {
+  if (heard_.size() >= kWatchers || now - started_ < silence) {
     short_ = false;
     return false;
   }
--- a/packages/registry/include/cowslip/registry/ticket_registry.h
+++ b/packages/registry/include/cowslip/registry/ticket_registry.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "cowslip/base.h"
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "cowslip/registry/history.h"
 #include "cowslip/registry/registry_error.h"
 #include "cowslip/ticket.h"
@@ -28,7 +28,7 @@
  public:
   using Reason = LastReason<RegistryError>;
 
-  explicit TicketRegistry(platform::StoreClient client)
+  explicit TicketRegistry(consul::StoreClient client)
       : client_(std::move(client)) {}
 
   std::optional<History> Read(Reason& reason);
@@ -38,7 +38,7 @@
   std::optional<Acceptance> Submit(std::string_view text, std::string_view file,
                                    Reason& reason);
 
-  platform::StoreClient& client() { return client_; }
+  consul::StoreClient& client() { return client_; }
 
  private:
   std::optional<Acceptance> Create(const ticket::Ticket& ticket,
@@ -47,7 +47,7 @@
                                    std::string_view text, bool own_write,
                                    Reason& reason);
 
-  platform::StoreClient client_;
+  consul::StoreClient client_;
 };
 
 }  // namespace cowslip::registry
--- a/packages/registry/src/compaction.cc
+++ b/packages/registry/src/compaction.cc
@@ -5,7 +5,7 @@
 namespace cowslip::registry {
 namespace {
 
-using platform::PlatformError;
+using consul::ConsulError;
 
 /// Tickets that a snapshot remembers by author, note and digest.
 constexpr std::size_t kFoldedKept = 256;
@@ -57,7 +57,7 @@
 }
 
 bool Compaction::WriteSnapshot(Reason& reason) {
-  LastReason<PlatformError> fault;
+  LastReason<ConsulError> fault;
   const auto result = registry_->client().PutCas(
       ticket::SnapshotKey(), ticket::FormatTicket(snapshot_), snapshot_index_,
       fault);
@@ -74,7 +74,7 @@
 }
 
 bool Compaction::DeleteNext(Reason& reason) {
-  LastReason<PlatformError> fault;
+  LastReason<ConsulError> fault;
   const auto& doomed = doomed_[next_];
   const auto result = registry_->client().DeleteCas(
       ticket::TicketKey(doomed.number), doomed.index, fault);
--- a/packages/registry/src/ticket_registry.cc
+++ b/packages/registry/src/ticket_registry.cc
@@ -3,7 +3,7 @@
 namespace cowslip::registry {
 namespace {
 
-using platform::PlatformError;
+using consul::ConsulError;
 using ticket::TicketError;
 
 constexpr int kSettleAttempts = 3;
@@ -12,7 +12,7 @@
   return "the next number is " + std::to_string(Raw(state.number()) + 1);
 }
 
-bool TakeSnapshot(const platform::KeyValue& entry, History& history,
+bool TakeSnapshot(const consul::KeyValue& entry, History& history,
                   LastReason<TicketError>& refused) {
   const auto parsed = ticket::ParseSnapshot(entry.value, entry.key, refused);
   if (!parsed) return false;
@@ -23,7 +23,7 @@
   return true;
 }
 
-void TakeTickets(const platform::ListResult& listing, History& history) {
+void TakeTickets(const consul::ListResult& listing, History& history) {
   for (const auto& entry : listing.values) {
     LastReason<TicketError> refused;
     const auto number = ticket::ParseTicketKey(entry.key);
@@ -46,7 +46,7 @@
 }  // namespace
 
 std::optional<History> TicketRegistry::Read(Reason& reason) {
-  LastReason<PlatformError> fault;
+  LastReason<ConsulError> fault;
   // In this order: a snapshot that is read later covers whatever was deleted
   // before the tickets were read.
   const auto listing = client_.List(ticket::TicketPrefix(), fault);
@@ -97,10 +97,10 @@
 std::optional<Acceptance> TicketRegistry::Create(const ticket::Ticket& ticket,
                                                  std::string_view text,
                                                  Reason& reason) {
-  LastReason<PlatformError> fault;
+  LastReason<ConsulError> fault;
   const auto result =
       client_.PutCas(ticket::TicketKey(ticket.number), text, 0, fault);
-  if (!result && fault.code() == PlatformError::kUnavailable) {
+  if (!result && fault.code() == ConsulError::kUnavailable) {
     reason.Set(RegistryError::kUnavailable, fault.Message());
     return std::nullopt;
   }
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -7,7 +7,7 @@
   libcivetweb-dev libnghttp2-dev prometheus-cpp-dev libdocopt-dev libspdlog-dev
   libyaml-cpp-dev libboost-test-dev libxxhash-dev libcoap3-dev
   libcurl4-openssl-dev libssl-dev nlohmann-json3-dev libbenchmark-dev
-  libflatbuffers-dev
+  libflatbuffers-dev libevent-dev libsimdjson-dev libfmt-dev
 )
 
 missing=()
--- a/standins/store/http_face.cc
+++ b/standins/store/http_face.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "cowslip/platform/base64.h"
+#include "cowslip/base.h"
 #include "standins/store/go_duration.h"
 
 namespace cowslip::standin {
@@ -55,7 +55,7 @@
   json["Key"] = named.key;
   json["Flags"] = entry.flags;
   json["Value"] =
-      entry.value.empty() ? Json() : Json(platform::EncodeBase64(entry.value));
+      entry.value.empty() ? Json() : Json(EncodeBase64(entry.value));
   json["CreateIndex"] = entry.create_index;
   json["ModifyIndex"] = entry.modify_index;
   if (!entry.session.empty()) json["Session"] = entry.session;
--- /dev/null
+++ b/tests/adapter_test.cc
@@ -0,0 +1,187 @@
+// What the adapter reads from outside: packets, settings, heartbeats, routes.
+#define BOOST_TEST_MODULE adapter
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+#include <string>
+
+#include "platform/heartbeat.h"
+#include "platform/packet_header.h"
+#include "platform/route_document.h"
+#include "platform/settings.h"
+
+namespace cowslip::platform_adapter {
+namespace {
+
+/// An opening from 100.64.0.9:40002 to 198.18.0.3:80.
+Bytes MakeOpening() {
+  return {0, 0, 0, 0, 9, 0, 0x40, 100, 3,    0, 18, 198, 80, 0, 0x42, 0x9C, 5,
+          0, 0, 0, 2, 0, 0,    0,   0x11, 1, 1,  1,   16, 0, 0,    0,    0, 0};
+}
+
+const char* const kSettings = R"({
+  "nodeName": "side-1", "ip": "127.9.0.2", "zone": "ate",
+  "listen": {"datagramAddr": "127.9.0.2:8172", "ready": "127.9.0.2:8167",
+             "control": "127.9.0.2:8166", "outbound": "127.9.0.2:8162"},
+  "internalPorts": [7720, 7735], "seeds": ["127.9.0.1:8166"],
+  "bootstrap": true, "heartbeatMs": 700, "unknownField": {"a": 1},
+  "bounds": {"graceS": 6, "configApplyMs": 3000},
+  "app": "127.9.0.2:8165", "service": "vault",
+  "platform": {"address": "127.9.0.7:8169"}})";
+
+const char* const kHeartbeat =
+    R"({"service":"vault","address":"10.1.0.9:8165","zone":"ate","version":"v1",
+        "capacity":2,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  const auto at = text.find(from);
+  BOOST_REQUIRE(at != text.npos);
+  return text.replace(at, from.size(), to);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(ReadsAnOpening) {
+  const auto header = DecodePacketHeader(MakeOpening(), PacketSender::kCaller);
+  BOOST_REQUIRE(header.has_value());
+  BOOST_TEST(header->segment.opens());
+  BOOST_TEST(ToString(header->segment.flow.caller) == "100.64.0.9:40002");
+  BOOST_TEST(ToString(header->segment.flow.service) == "198.18.0.3:80");
+  BOOST_TEST(header->segment.seq == 5U);
+  BOOST_TEST(header->segment.ack == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(BothDirectionsNameTheSameFlow) {
+  const auto opening = DecodePacketHeader(MakeOpening(), PacketSender::kCaller);
+  const auto reset = MakeReset(opening->segment.flow, 77);
+  const auto answer = DecodePacketHeader(reset, PacketSender::kUpstream);
+  BOOST_REQUIRE(answer.has_value());
+  BOOST_TEST(answer->segment.rst);
+  BOOST_TEST(answer->segment.seq == 77U);
+  BOOST_TEST((answer->segment.flow == opening->segment.flow));
+}
+
+BOOST_AUTO_TEST_CASE(AReturnedPacketBecomesWhatItsCallerSent) {
+  const auto original = MakeOpening();
+  auto packet = original;
+  SetToken(packet, 123456);
+  packet[28] |= 8;
+  const auto header = DecodePacketHeader(packet, PacketSender::kUpstream);
+  BOOST_REQUIRE(header.has_value());
+  BOOST_TEST(header->returned);
+  BOOST_TEST(header->token == 123456U);
+  BOOST_TEST(ToString(header->segment.flow.caller) == "100.64.0.9:40002");
+  ClearReturned(packet);
+  BOOST_TEST(packet == original, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(PacketsOfTheWrongSizeAreRefused) {
+  auto packet = MakeOpening();
+  packet.pop_back();
+  BOOST_TEST(!DecodePacketHeader(packet, PacketSender::kCaller));
+  packet = MakeOpening();
+  packet.push_back(0);
+  BOOST_TEST(!DecodePacketHeader(packet, PacketSender::kCaller));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsSettings) {
+  LastReason<AdapterError> reason;
+  const auto settings = ParseSettings(kSettings, reason);
+  BOOST_REQUIRE_MESSAGE(settings.has_value(), reason.Message());
+  BOOST_TEST(settings->instance_name == "side-1");
+  BOOST_TEST(settings->internal_ports.first == 7720);
+  BOOST_TEST(ToString(*settings->upstream) == "127.9.0.2:8165");
+  BOOST_TEST(settings->config_deadline.count() == 3000);
+  BOOST_TEST(settings->first_start);
+}
+
+BOOST_AUTO_TEST_CASE(SettingsErrorsNameTheField) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"\"ip\"", "ip"},
+      {"\"nodeName\"", "nodeName"},
+      {"\"datagramAddr\"", "datagramAddr"},
+      {"\"graceS\"", "graceS"},
+      {"\"seeds\"", "seeds"}};
+  for (const auto& [from, field] : cases) {
+    LastReason<AdapterError> reason;
+    BOOST_TEST(!ParseSettings(Replaced(kSettings, from, "\"x\""), reason));
+    BOOST_TEST(reason.Message().find(field) != std::string::npos,
+               reason.Message());
+  }
+  LastReason<AdapterError> reason;
+  BOOST_TEST(!ParseSettings("{", reason));
+  BOOST_TEST((reason.code() == AdapterError::kBadJson));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsHeartbeats) {
+  LastReason<AdapterError> reason;
+  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat, reason);
+  BOOST_REQUIRE_MESSAGE(heartbeat.has_value(), reason.Message());
+  BOOST_TEST(heartbeat->report.id == "i-1");
+  BOOST_TEST(heartbeat->report.slots == 2U);
+  BOOST_TEST(heartbeat->report.born.count() == 1700);
+  BOOST_TEST(!heartbeat->report.draining);
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatsOfOtherWritersAreRefused) {
+  const std::pair<const char*, const char*> cases[] = {
+      {"\"capacity\":2", "\"capacity\":\"2\""}, {"\"ready\"", "\"resting\""},
+      {"\"seq\":4,", ""},                       {"\"born\":1700", "\"born\":1.5"},
+      {"\"capacity\":2", "\"capacity\":0"},     {"10.1.0.9:8165", "nowhere"}};
+  for (const auto& [from, to] : cases) {
+    LastReason<AdapterError> reason;
+    BOOST_TEST(!ParseHeartbeat("i-1", Replaced(kHeartbeat, from, to), reason));
+    BOOST_TEST(!reason.ok());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsRoutes) {
+  LastReason<AdapterError> reason;
+  const auto table = ParseRouteDocument(
+      R"({"version":7,"routes":[
+           {"host":"198.18.0.1","prefix":"/8443/","service":"vault"},
+           {"host":"198.18.0.2","prefix":"/80/","split":[
+             {"service":"a","weight":90},{"service":"b","weight":10}]}],
+          "services":[{"name":"vault","healthPath":"/healthz"}]})",
+      reason);
+  BOOST_REQUIRE_MESSAGE(table.has_value(), reason.Message());
+  BOOST_TEST(table->version == 7U);
+  const auto* route = table->Find(*ParseEndpoint("198.18.0.1:8443"));
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST((route->Choose(1) == segment::TagOf("vault")));
+  BOOST_TEST(table->Find(*ParseEndpoint("198.18.0.2:80"))->targets.size() == 2U);
+  BOOST_TEST((table->Find(*ParseEndpoint("198.18.0.2:81")) == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(UnreadableRoutesAreRefusedWhole) {
+  for (const char* prefix : {"8443", "/x/", "/70000/", "//"}) {
+    LastReason<AdapterError> reason;
+    BOOST_TEST(!ParseRouteDocument(
+        R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":")" +
+            std::string(prefix) + R"(","service":"vault"}]})",
+        reason));
+    BOOST_TEST((reason.code() == AdapterError::kBadField));
+  }
+}
+
+// Bytes flipped at random: nothing crashes, nothing reads outside.
+BOOST_AUTO_TEST_CASE(GarbageIsRefusedQuietly) {
+  std::mt19937_64 random(7);
+  for (int i = 0; i < 20000; ++i) {
+    std::string heartbeat = kHeartbeat;
+    std::string settings = kSettings;
+    auto packet = MakeOpening();
+    for (int flips = 0; flips < 3; ++flips) {
+      heartbeat[random() % heartbeat.size()] = static_cast<char>(random());
+      settings[random() % settings.size()] = static_cast<char>(random());
+      packet[random() % packet.size()] = static_cast<std::uint8_t>(random());
+    }
+    LastReason<AdapterError> reason;
+    ParseHeartbeat("i", heartbeat, reason);
+    ParseSettings(settings, reason);
+    DecodePacketHeader(packet, PacketSender::kUpstream);
+  }
+}
+
+}  // namespace cowslip::platform_adapter
--- a/tests/platform_test.cc
+++ b/tests/consul_test.cc
@@ -1,9 +1,9 @@
 #define BOOST_TEST_MODULE platform
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 
 #include <boost/test/unit_test.hpp>
 
-namespace cowslip::platform {
+namespace cowslip::consul {
 namespace {
 
 BOOST_AUTO_TEST_CASE(Base64FollowsRfc4648Vectors) {
@@ -53,20 +53,20 @@
 }
 
 BOOST_AUTO_TEST_CASE(CreateRefusesUnusableOptions) {
-  LastReason<PlatformError> reason;
+  LastReason<ConsulError> reason;
   BOOST_TEST(!StoreClient::Create({}, reason).has_value());
-  BOOST_TEST((reason.code() == PlatformError::kBadOptions));
+  BOOST_TEST((reason.code() == ConsulError::kBadOptions));
 }
 
 BOOST_AUTO_TEST_CASE(CancelledClientRefusesCalls) {
-  LastReason<PlatformError> reason;
+  LastReason<ConsulError> reason;
   StoreClientOptions options;
   options.urls = {"http://127.0.0.1:1"};
   auto client = StoreClient::Create(options, reason);
   BOOST_REQUIRE(client.has_value());
   client->Cancel();
   BOOST_TEST(!client->Get("key", reason).has_value());
-  BOOST_TEST((reason.code() == PlatformError::kCancelled));
+  BOOST_TEST((reason.code() == ConsulError::kCancelled));
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/peers_test.cc
@@ -0,0 +1,245 @@
+// Gossip among instances in virtual time, and who watches the store.
+#define BOOST_TEST_MODULE peers
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <random>
+
+#include "cowslip/peers.h"
+
+namespace cowslip::peers {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+PeerEntry MakeEntry(InstanceAddress address, bool balancer,
+                    std::uint64_t incarnation) {
+  PeerEntry entry;
+  entry.address = address;
+  entry.balancer = balancer;
+  entry.incarnation = incarnation;
+  entry.service = balancer ? "" : "vault";
+  return entry;
+}
+
+/// Instances that exchange messages with losses, in steps of 20 ms.
+class Fleet {
+ public:
+  explicit Fleet(std::uint64_t seed) : random_(seed) {}
+
+  Gossip& Add(const PeerEntry& entry) {
+    auto& gossip = instances_[entry.address];
+    gossip = std::make_unique<Gossip>(entry, entry.address);
+    gossip->SetSeeds({1, 2, 3});
+    return *gossip;
+  }
+  void Remove(InstanceAddress address) { instances_.erase(address); }
+  Gossip& At(InstanceAddress address) { return *instances_.at(address); }
+
+  void Run(milliseconds time) {
+    for (auto end = now_ + time; now_ < end; now_ += milliseconds(20)) {
+      for (auto& [address, gossip] : instances_) gossip->OnTick(now_);
+      // Messages that answer messages arrive in the same step.
+      for (int round = 0; round < 4; ++round) Exchange();
+    }
+  }
+  void SetLoss(double loss) { loss_ = loss; }
+  TimePoint now() const { return now_; }
+  std::uint64_t bytes() const { return bytes_; }
+
+ private:
+  void Exchange() {
+    std::vector<Outgoing> all;
+    for (auto& [address, gossip] : instances_) {
+      for (auto& out : gossip->TakeOutgoing()) all.push_back(std::move(out));
+    }
+    for (const auto& out : all) {
+      const auto wire = Encode(out.message);
+      bytes_ += wire.size();
+      const auto target = instances_.find(out.to);
+      const bool lost =
+          std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
+      if (target == instances_.end() || lost) continue;
+      const auto message = Decode(wire);
+      BOOST_REQUIRE(message.has_value());
+      target->second->OnMessage(*message, now_);
+    }
+  }
+
+  std::mt19937_64 random_;
+  std::map<InstanceAddress, std::unique_ptr<Gossip>> instances_;
+  TimePoint now_{seconds(50)};
+  double loss_ = 0;
+  std::uint64_t bytes_ = 0;
+};
+
+void Populate(Fleet& fleet, int balancers, int sidecars) {
+  for (int i = 1; i <= balancers; ++i) fleet.Add(MakeEntry(i, true, 1));
+  for (int i = 1; i <= sidecars; ++i) fleet.Add(MakeEntry(100 + i, false, 1));
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(AllBalancersLearnAllInstances) {
+  Fleet fleet(1);
+  Populate(fleet, 8, 20);
+  fleet.Run(milliseconds(600));
+  for (int i = 1; i <= 8; ++i) {
+    BOOST_TEST(fleet.At(i).table().entries().size() == 28U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LostMessagesAreMendedWithinASecond) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    Populate(fleet, 6, 10);
+    fleet.Run(seconds(1));
+    fleet.SetLoss(0.2);
+    fleet.At(105).SetOpen(true, 7, fleet.now());
+    fleet.Run(milliseconds(1500));
+    for (int i = 1; i <= 6; ++i) {
+      BOOST_TEST(fleet.At(i).table().Find(105)->open, "seed " << seed);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedInstanceLearnsOfItsPredecessor) {
+  Fleet fleet(1);
+  Populate(fleet, 4, 4);
+  fleet.At(102).SetOpen(true, 42, fleet.now());
+  fleet.Run(seconds(1));
+  fleet.Add(MakeEntry(102, false, 9));
+  fleet.Run(milliseconds(200));
+  BOOST_REQUIRE(fleet.At(102).predecessor().has_value());
+  BOOST_TEST(fleet.At(102).predecessor()->upstream == 42U);
+}
+
+// The time of day was set back between two starts.
+BOOST_AUTO_TEST_CASE(AStartWithAnOlderClockWinsOverItsPredecessor) {
+  Fleet fleet(1);
+  Populate(fleet, 4, 0);
+  fleet.Add(MakeEntry(110, false, 5000));
+  fleet.Run(seconds(1));
+  fleet.Add(MakeEntry(110, false, 3000));
+  fleet.At(110).SetOpen(true, 1, fleet.now());
+  fleet.Run(seconds(1));
+  for (int i = 1; i <= 4; ++i) {
+    BOOST_TEST(fleet.At(i).table().Find(110)->incarnation > 5000U);
+    BOOST_TEST(fleet.At(i).table().Find(110)->open);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(CompletenessSpreadsOnlyWithEqualTables) {
+  Fleet fleet(1);
+  Populate(fleet, 4, 3);
+  fleet.Run(seconds(1));
+  for (int i = 1; i <= 4; ++i) BOOST_TEST(!fleet.At(i).complete());
+  const std::vector<PeerEntry> stored{MakeEntry(200, false, 1)};
+  fleet.At(2).OnStored(stored, fleet.now());
+  fleet.Run(seconds(2));
+  for (int i = 1; i <= 4; ++i) {
+    BOOST_TEST(fleet.At(i).complete());
+    BOOST_TEST((fleet.At(i).table().Find(200) != nullptr));
+  }
+}
+
+// Control traffic of an idle instance: the target is 3 KB a second.
+BOOST_AUTO_TEST_CASE(IdleInstancesKeepWithinTheirBytes) {
+  Fleet fleet(1);
+  Populate(fleet, 24, 62);
+  fleet.Run(seconds(3));
+  const auto before = fleet.bytes();
+  fleet.Run(seconds(10));
+  const double per_second = static_cast<double>(fleet.bytes() - before) / 86 / 10;
+  BOOST_TEST(per_second < 3000);
+}
+
+BOOST_AUTO_TEST_CASE(ForeignDatagramsAreRefused) {
+  auto wire = Encode(Message{});
+  BOOST_TEST(Decode(wire).has_value());
+  for (std::size_t size = 0; size < wire.size(); ++size) {
+    BOOST_TEST(!Decode(ByteView(wire).first(size)).has_value());
+  }
+  wire[0] = 'X';
+  BOOST_TEST(!Decode(wire).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TwoBalancersWatch) {
+  constexpr milliseconds kWatch{1000};
+  TimePoint now{seconds(10)};
+  std::map<InstanceAddress, WatchDuty> duties;
+  for (InstanceAddress i = 1; i <= 24; ++i) {
+    duties.emplace(i, WatchDuty(i, kWatch, now));
+  }
+  const auto run = [&](milliseconds time) {
+    for (const auto end = now + time; now < end; now += milliseconds(20)) {
+      for (auto& [self, duty] : duties) {
+        if (!duty.Judge(now)) continue;
+        for (auto& [other, heard] : duties) {
+          if (other != self) heard.OnWatcher(self, true, now);
+        }
+      }
+    }
+  };
+  const auto watchers = [&] {
+    std::vector<InstanceAddress> found;
+    for (auto& [self, duty] : duties) {
+      if (duty.watching()) found.push_back(self);
+    }
+    return found;
+  };
+  run(seconds(4));
+  BOOST_TEST(watchers().size() == 2U);
+  // Both fall away at once: others step in well within 3 s.
+  for (const auto lost : watchers()) duties.erase(lost);
+  run(milliseconds(2200));
+  BOOST_TEST(watchers().size() >= 2U);
+  run(seconds(2));
+  BOOST_TEST(watchers().size() == 2U);
+}
+
+// lienthep-gw, hunted day f8da-3: the store turned both watchers away, and they
+// went on to count as watchers until a change was more than 3 s old.
+BOOST_AUTO_TEST_CASE(WatchersThatTheStoreTurnsAwayAreReplaced) {
+  constexpr milliseconds kWatch{1000};
+  TimePoint now{seconds(10)};
+  std::map<InstanceAddress, WatchDuty> duties;
+  for (InstanceAddress i = 1; i <= 8; ++i) {
+    duties.emplace(i, WatchDuty(i, kWatch, now));
+  }
+  std::vector<InstanceAddress> turned_away;
+  const auto run = [&](milliseconds time, bool silent) {
+    for (const auto end = now + time; now < end; now += milliseconds(20)) {
+      for (auto& [self, duty] : duties) {
+        const bool away = std::find(turned_away.begin(), turned_away.end(),
+                                    self) != turned_away.end();
+        if (!duty.Judge(now)) continue;
+        if (!away) duty.OnVerified(now);
+        if (away && !silent) duty.OnFailed();
+        for (auto& [other, heard] : duties) {
+          if (other != self) heard.OnWatcher(self, duty.Reliable(now), now);
+        }
+      }
+    }
+  };
+  const auto reliable = [&] {
+    std::vector<InstanceAddress> found;
+    for (auto& [self, duty] : duties) {
+      if (duty.Reliable(now)) found.push_back(self);
+    }
+    return found;
+  };
+  for (const bool silent : {false, true}) {
+    turned_away.clear();
+    run(seconds(5), silent);
+    turned_away = reliable();
+    BOOST_TEST(turned_away.size() == 2U);
+    run(silent ? milliseconds(1700) : milliseconds(400), silent);
+    BOOST_TEST(reliable().size() >= 2U);
+  }
+}
+
+}  // namespace cowslip::peers
--- a/tests/process/control_cost.cc
+++ b/tests/process/control_cost.cc
@@ -4,7 +4,7 @@
 #include <thread>
 
 #include "cowslip/membership.h"
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "tests/process/deployment.h"
 #include "tests/process/http.h"
 
@@ -127,10 +127,10 @@
   }
 
   void Announce(int count) {
-    platform::StoreClientOptions options;
+    consul::StoreClientOptions options;
     options.urls = {"http://" + deployment_.site().Store()};
-    LastReason<platform::PlatformError> reason;
-    auto client = platform::StoreClient::Create(options, reason);
+    LastReason<consul::ConsulError> reason;
+    auto client = consul::StoreClient::Create(options, reason);
     for (int i = 0; i < count; ++i) {
       constexpr std::uint32_t kForeignService = 7;
       membership::Announcement announcement;
--- a/tests/process/membership_test.cc
+++ b/tests/process/membership_test.cc
@@ -5,7 +5,7 @@
 #include <map>
 #include <thread>
 
-#include "cowslip/platform.h"
+#include "cowslip/consul.h"
 #include "tests/process/deployment.h"
 #include "tests/process/http.h"
 
@@ -22,18 +22,18 @@
 class Members {
  public:
   Members() : deployment(ThreeUpstreams()) {
-    LastReason<platform::PlatformError> reason;
-    platform::StoreClientOptions options;
+    LastReason<consul::ConsulError> reason;
+    consul::StoreClientOptions options;
     options.urls = {"http://" + deployment.site().Store()};
     options.token = "test";
-    store_ = platform::StoreClient::Create(options, reason);
+    store_ = consul::StoreClient::Create(options, reason);
   }
 
-  platform::KeyValue Stored(int id) {
-    LastReason<platform::PlatformError> reason;
+  consul::KeyValue Stored(int id) {
+    LastReason<consul::ConsulError> reason;
     const auto found = store_->Get(
         membership::AnnouncementKey(ServiceId(1), UpstreamId(id)), reason);
-    return found && found->value ? *found->value : platform::KeyValue{};
+    return found && found->value ? *found->value : consul::KeyValue{};
   }
 
   membership::Announcement Announced(int id) {
@@ -49,7 +49,7 @@
   bool ReportFalseDeath(int id) {
     auto announcement = Announced(id);
     announcement.dead = true;
-    LastReason<platform::PlatformError> reason;
+    LastReason<consul::ConsulError> reason;
     const auto stored = Stored(id);
     const auto result =
         store_->PutCas(stored.key, membership::EncodeAnnouncement(announcement),
@@ -99,7 +99,7 @@
     return options;
   }
 
-  std::optional<platform::StoreClient> store_;
+  std::optional<consul::StoreClient> store_;
   std::map<std::string, CallerResult> results_;
 };
 
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -32,11 +32,11 @@
   }
 
   TicketRegistry Open() {
-    platform::StoreClientOptions options;
+    consul::StoreClientOptions options;
     options.urls = {std::string("http://") + kListen};
     options.timeout = std::chrono::seconds(5);
-    LastReason<platform::PlatformError> reason;
-    return TicketRegistry(*platform::StoreClient::Create(options, reason));
+    LastReason<consul::ConsulError> reason;
+    return TicketRegistry(*consul::StoreClient::Create(options, reason));
   }
 
   std::atomic<int> lost_answers{0};  ///< Writes that take effect unheard.
@@ -180,7 +180,7 @@
   BOOST_TEST(
       registry.client()
           .PutCas(ticket::TicketKey(TicketNumber{4}), Text(4, "nguyen"), 0,
-                  *std::make_unique<LastReason<platform::PlatformError>>())
+                  *std::make_unique<LastReason<consul::ConsulError>>())
           ->applied);
   BOOST_TEST(!registry.Submit(Text(4, "nguyen"), "t.yaml", reason).has_value());
   BOOST_TEST((reason.code() == RegistryError::kTaken));
--- /dev/null
+++ b/tests/segment/fake_caller.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+#include "cowslip/segment.h"
+
+namespace cowslip::segment::test {
+
+enum class CallState { kIdle, kOpening, kWaiting, kAnswered, kReset, kTimedOut };
+
+/// One caller's connection in virtual time; repeats packets as callers do.
+class FakeCaller {
+ public:
+  struct Output {
+    std::function<void(const Segment&)> send;
+    std::function<void(std::chrono::milliseconds, std::function<void()>)> after;
+    std::function<TimePoint()> now;
+  };
+
+  FakeCaller(const FlowKey& flow, Output output)
+      : flow_(flow), output_(std::move(output)) {}
+
+  /// Opens the connection; the first request follows at once.
+  void Open();
+  /// Sends a further request on the open connection.
+  void Ask();
+  void OnPacket(const Segment& segment);
+
+  CallState state() const { return state_; }
+  bool open() const { return open_; }
+  /// @return from the request to its end.
+  Duration elapsed() const { return ended_ - started_; }
+  const FlowKey& flow() const { return flow_; }
+
+ private:
+  void RepeatOpening(std::uint32_t copy);
+  void RepeatRequest(int request, std::chrono::milliseconds pause);
+  void SendRequest();
+  void End(CallState state);
+
+  FlowKey flow_;
+  Output output_;
+  CallState state_ = CallState::kIdle;
+  bool open_ = false;
+  int request_ = 0;
+  std::uint32_t seq_ = 500;
+  std::uint32_t ack_ = 0;
+  TimePoint started_{};
+  TimePoint ended_{};
+};
+
+}  // namespace cowslip::segment::test
--- /dev/null
+++ b/tests/segment/sidecar_parts_test.cc
@@ -0,0 +1,244 @@
+// The parts of a sidecar and of the frames, each on its own.
+#define BOOST_TEST_MODULE sidecar_parts
+#include <boost/test/unit_test.hpp>
+
+#include "cowslip/segment.h"
+
+namespace cowslip::segment {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const TimePoint kStart{seconds(100)};
+
+UpstreamReport MakeReport(const std::string& id, int born_ms,
+                          std::uint64_t sequence, bool draining = false) {
+  UpstreamReport report;
+  report.id = id;
+  report.born = milliseconds(born_ms);
+  report.sequence = sequence;
+  report.draining = draining;
+  report.slots = 2;
+  return report;
+}
+
+FlowKey MakeFlow(std::uint16_t port) {
+  return {{0x64400001, port}, {0xC6120001, 443}};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(GateOpensWithTheFirstReadyReport) {
+  UpstreamGate gate;
+  BOOST_TEST(!gate.open());
+  gate.OnReport(MakeReport("a", 1, 1), kStart);
+  BOOST_TEST(gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(GateStaysShutWhenALateReportArrives) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("a", 1, 1), kStart);
+  gate.OnReport(MakeReport("a", 1, 3, true), kStart + seconds(1));
+  BOOST_TEST((gate.OnReport(MakeReport("a", 1, 2), kStart + seconds(2)) ==
+              ReportVerdict::kOutdated));
+  BOOST_TEST(!gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(GateDoesNotReopenForTheSameStart) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("a", 1, 1, true), kStart);
+  gate.OnReport(MakeReport("a", 1, 2), kStart + seconds(1));
+  BOOST_TEST(!gate.open());
+  gate.OnDeregistered("a");
+  gate.OnReport(MakeReport("a", 1, 3), kStart + seconds(2));
+  BOOST_TEST(!gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(GateFollowsARestartUnderTheSameId) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("a", 1, 9, true), kStart);
+  BOOST_TEST((gate.OnReport(MakeReport("a", 500, 1), kStart + seconds(1)) ==
+              ReportVerdict::kNewIncarnation));
+  BOOST_TEST(gate.open());
+  BOOST_TEST(gate.saw_start());
+}
+
+BOOST_AUTO_TEST_CASE(GateIgnoresAnEarlierStart) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("b", 500, 1), kStart);
+  BOOST_TEST((gate.OnReport(MakeReport("a", 1, 9, true),
+                            kStart + seconds(1)) == ReportVerdict::kOutdated));
+  BOOST_TEST(gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(GateBelievesAStartAfterTheClockWasSetBack) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("a", 5000, 4), kStart);
+  gate.OnDeregistered("a");
+  gate.OnReport(MakeReport("b", 3000, 1), kStart + milliseconds(500));
+  BOOST_TEST(gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(GateShutsForASilentUpstreamUntilItAnswers) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("a", 1, 1), kStart);
+  gate.OnUnanswered();
+  BOOST_TEST(gate.open());
+  gate.OnUnanswered();
+  BOOST_TEST(!gate.open());
+  gate.OnAnswered();
+  BOOST_TEST(gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(DeregistrationOfAnotherStartChangesNothing) {
+  UpstreamGate gate;
+  gate.OnReport(MakeReport("b", 2, 1), kStart);
+  gate.OnDeregistered("a");
+  BOOST_TEST(gate.open());
+}
+
+BOOST_AUTO_TEST_CASE(LoadCountsExpectedAndRunningRequests) {
+  LoadEstimate load;
+  load.SetSlots(2);
+  load.OnExpected();
+  load.OnStarted(kStart);
+  BOOST_TEST(!load.HasRoom());
+  BOOST_TEST(load.free_slots() == 0);
+  load.OnAnswered(milliseconds(20), false, kStart + milliseconds(20));
+  BOOST_TEST(load.HasRoom());
+  load.OnExpectationEnded();
+  BOOST_TEST(load.free_slots() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ExpectedWaitTellsASlowUpstreamFromAFastOne) {
+  LoadEstimate fast;
+  LoadEstimate slow;
+  auto now = kStart;
+  for (int i = 0; i < 60; ++i) {
+    fast.OnStarted(now);
+    slow.OnStarted(now);
+    now += milliseconds(40);
+    fast.OnAnswered(milliseconds(10), false, now);
+    slow.OnAnswered(milliseconds(40), false, now);
+  }
+  BOOST_TEST((fast.ExpectedWait(now) * 2 < slow.ExpectedWait(now)));
+}
+
+BOOST_AUTO_TEST_CASE(ExpectedWaitGrowsWithTheQueue) {
+  LoadEstimate load;
+  load.SetSlots(2);
+  const auto idle = load.ExpectedWait(kStart);
+  for (int i = 0; i < 6; ++i) load.OnStarted(kStart);
+  BOOST_TEST((load.ExpectedWait(kStart) > 3 * idle));
+  BOOST_TEST(!load.CanQueue());
+}
+
+BOOST_AUTO_TEST_CASE(LedgerForgetsByStateAndAge) {
+  FlowLedger ledger;
+  ledger.Start(MakeFlow(1), FlowState::kOpening, kStart);
+  ledger.Start(MakeFlow(2), FlowState::kEnded, kStart);
+  ledger.Start(MakeFlow(3), FlowState::kOpen, kStart);
+  int dropped = 0;
+  const auto count = [&](const FlowKey&, const FlowEntry&) { ++dropped; };
+  ledger.Expire(kStart + seconds(4), count);
+  BOOST_TEST(dropped == 1);
+  // A flow that has ended is kept for the packets that are still under way.
+  BOOST_TEST((ledger.Find(MakeFlow(2)) != nullptr));
+  ledger.Expire(kStart + seconds(11), count);
+  BOOST_TEST((ledger.Find(MakeFlow(2)) == nullptr));
+  BOOST_TEST((ledger.Find(MakeFlow(3)) != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(LedgerIsBoundedAndKeepsOpenFlows) {
+  FlowLedger ledger;
+  ledger.Start(MakeFlow(0), FlowState::kOpen, kStart);
+  for (std::size_t i = 1; i < FlowLedger::kCapacity + 10; ++i) {
+    ledger.Start(MakeFlow(static_cast<std::uint16_t>(i)), FlowState::kEnded,
+                 kStart + milliseconds(i));
+  }
+  BOOST_TEST(ledger.size() == FlowLedger::kCapacity);
+  BOOST_TEST(ledger.evicted() == 10U);
+  BOOST_TEST((ledger.Find(MakeFlow(0)) != nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(RingFindsOnlyTheFrameOfTheSameFlow) {
+  FrameRing ring;
+  SegmentFrame frame;
+  frame.hop_count = 3;
+  const auto token = ring.Store(MakeFlow(1), frame);
+  BOOST_TEST(ring.Find(token, MakeFlow(1))->hop_count == 3);
+  BOOST_TEST(!ring.Find(token, MakeFlow(2)));
+  BOOST_TEST(!ring.Find(FrameRing::kNoToken, MakeFlow(1)));
+  for (std::size_t i = 0; i < FrameRing::kCapacity; ++i) {
+    ring.Store(MakeFlow(2), frame);
+  }
+  BOOST_TEST(!ring.Find(token, MakeFlow(1)));
+}
+
+BOOST_AUTO_TEST_CASE(FramesSurviveTheWire) {
+  SegmentFrame frame;
+  frame.config = 77;
+  frame.service = TagOf("vault");
+  frame.balancer = 0x0A010010;
+  frame.place = 1;
+  frame.hop_count = 3;
+  frame.hops = {1, 2, 3};
+  frame.searched = true;
+  frame.best_wait_us = 12;
+  const Bytes packet{1, 2, 3, 4};
+  Bytes wire;
+  AppendSegmentFrame(frame, packet, wire);
+  ByteView inner;
+  const auto read = DecodeSegmentFrame(wire, inner);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->config == 77U);
+  BOOST_TEST((read->service == frame.service));
+  BOOST_TEST(read->hops[2] == 3U);
+  BOOST_TEST(read->searched);
+  BOOST_TEST(Bytes(inner.begin(), inner.end()) == packet,
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(MutilatedFramesAreRefused) {
+  SegmentFrame frame;
+  frame.hop_count = 2;
+  frame.hops = {1, 2};
+  Bytes wire;
+  AppendSegmentFrame(frame, Bytes{9}, wire);
+  ByteView inner;
+  for (std::size_t size = 0; size + 1 < wire.size(); ++size) {
+    BOOST_TEST(!DecodeSegmentFrame(ByteView(wire).first(size), inner));
+  }
+  auto outside = frame;
+  outside.place = 2;
+  Bytes bad;
+  AppendSegmentFrame(outside, Bytes{9}, bad);
+  BOOST_TEST(!DecodeSegmentFrame(bad, inner));
+  BOOST_TEST(!KindOf(Bytes{1, 2, 3, 4, 1}));
+}
+
+BOOST_AUTO_TEST_CASE(NewRoutesKeepTheServicesOfOpenFlows) {
+  const Endpoint address{1, 443};
+  RouteTable before;
+  before.routes[address].targets.push_back({TagOf("old"), 1});
+  RouteTable after;
+  after.routes[address].targets.push_back({TagOf("new"), 1});
+  after.Inherit(before);
+  BOOST_REQUIRE(after.Find(address)->former.size() == 1U);
+  BOOST_TEST((after.Find(address)->former.front() == TagOf("old")));
+  BOOST_TEST((after.Find(address)->Choose(123) == TagOf("new")));
+}
+
+BOOST_AUTO_TEST_CASE(SplitRoutesFollowTheirWeights) {
+  Route route;
+  route.targets = {{TagOf("a"), 90}, {TagOf("b"), 10}};
+  int to_b = 0;
+  for (std::uint16_t port = 0; port < 10000; ++port) {
+    to_b += route.Choose(HashFlow(MakeFlow(port))) == TagOf("b");
+  }
+  BOOST_TEST(to_b > 800);
+  BOOST_TEST(to_b < 1200);
+}
+
+}  // namespace cowslip::segment
