--- /dev/null
+++ b/packages/base/include/cowslip/base/latency_histogram.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdint>
+
+namespace cowslip {
+
+/// Counts durations in fixed buckets; recording costs no allocation.
+class LatencyHistogram {
+ public:
+  /// Upper bounds; what is longer is counted in the last bucket.
+  static constexpr std::array<std::chrono::milliseconds, 11> kBounds{
+      std::chrono::milliseconds(1),   std::chrono::milliseconds(2),
+      std::chrono::milliseconds(5),   std::chrono::milliseconds(10),
+      std::chrono::milliseconds(25),  std::chrono::milliseconds(50),
+      std::chrono::milliseconds(100), std::chrono::milliseconds(250),
+      std::chrono::milliseconds(500), std::chrono::milliseconds(1000),
+      std::chrono::milliseconds(2500)};
+
+  void Record(std::chrono::nanoseconds duration) {
+    const auto* bound =
+        std::lower_bound(kBounds.begin(), kBounds.end(), duration);
+    ++counts_[static_cast<std::size_t>(bound - kBounds.begin())];
+    sum_ += duration;
+  }
+  /// @return one count for each bound, and one for what is longer.
+  const std::array<std::uint64_t, kBounds.size() + 1>& counts() const {
+    return counts_;
+  }
+  std::chrono::nanoseconds sum() const { return sum_; }
+
+ private:
+  std::array<std::uint64_t, kBounds.size() + 1> counts_{};
+  std::chrono::nanoseconds sum_{};
+};
+
+}  // namespace cowslip
--- a/packages/consul/include/cowslip/consul.h
+++ b/packages/consul/include/cowslip/consul.h
@@ -2,8 +2,8 @@
 
 /// Client of the platform's key-value store (the published Consul KV HTTP API).
 #include "cowslip/base.h"
-#include "cowslip/consul/key_value.h"
 #include "cowslip/consul/consul_error.h"
+#include "cowslip/consul/key_value.h"
 #include "cowslip/consul/results.h"
 #include "cowslip/consul/store_call_stats.h"
 #include "cowslip/consul/store_client.h"
--- a/packages/consul/include/cowslip/consul/consul_error.h
+++ b/packages/consul/include/cowslip/consul/consul_error.h
@@ -32,4 +32,4 @@
 /// @return whether a write that failed with this error may have taken effect.
 bool MayHaveTakenEffect(ConsulError error);
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/key_value.h
+++ b/packages/consul/include/cowslip/consul/key_value.h
@@ -16,4 +16,4 @@
   std::string session;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/results.h
+++ b/packages/consul/include/cowslip/consul/results.h
@@ -41,4 +41,4 @@
   bool alive = false;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/store_call_stats.h
+++ b/packages/consul/include/cowslip/consul/store_call_stats.h
@@ -14,4 +14,4 @@
   std::uint64_t bytes_in = 0;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/store_client.h
+++ b/packages/consul/include/cowslip/consul/store_client.h
@@ -100,4 +100,4 @@
   std::unique_ptr<HttpTransport> transport_;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/store_client_options.h
+++ b/packages/consul/include/cowslip/consul/store_client_options.h
@@ -16,4 +16,4 @@
   std::string token;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/include/cowslip/consul/store_url.h
+++ b/packages/consul/include/cowslip/consul/store_url.h
@@ -39,4 +39,4 @@
 /// percent-encoded.
 std::string PercentEncode(std::string_view text, std::string_view keep = {});
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/answer_parser.cc
+++ b/packages/consul/src/answer_parser.cc
@@ -82,4 +82,4 @@
   return CasResult{json.get<bool>()};
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/answer_parser.h
+++ b/packages/consul/src/answer_parser.h
@@ -22,4 +22,4 @@
 std::optional<CasResult> ParseWriteResult(std::string_view body,
                                           LastReason<ConsulError>& reason);
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/consul_error.cc
+++ b/packages/consul/src/consul_error.cc
@@ -39,4 +39,4 @@
   }
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/curl_handles.h
+++ b/packages/consul/src/curl_handles.h
@@ -35,4 +35,4 @@
   CURL* easy_;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/http_answer.h
+++ b/packages/consul/src/http_answer.h
@@ -14,4 +14,4 @@
   std::optional<std::uint64_t> index;
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/http_request.h
+++ b/packages/consul/src/http_request.h
@@ -15,4 +15,4 @@
   std::chrono::milliseconds timeout{};
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/http_transport.cc
+++ b/packages/consul/src/http_transport.cc
@@ -185,4 +185,4 @@
   curl_multi_wakeup(multi_.get());
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/http_transport.h
+++ b/packages/consul/src/http_transport.h
@@ -59,4 +59,4 @@
   std::atomic<bool> cancelled_{false};
 };
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/store_client.cc
+++ b/packages/consul/src/store_client.cc
@@ -175,4 +175,4 @@
   return ParseWriteResult(answer->body, reason);
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/consul/src/store_url.cc
+++ b/packages/consul/src/store_url.cc
@@ -58,4 +58,4 @@
   return Parameter("wait", std::to_string(wait.count()) + "ms");
 }
 
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/packages/daemon/include/cowslip/daemon/announcer.h
+++ b/packages/daemon/include/cowslip/daemon/announcer.h
@@ -4,9 +4,9 @@
 #include <optional>
 #include <string>
 
+#include "cowslip/consul.h"
 #include "cowslip/daemon/daemon_error.h"
 #include "cowslip/membership.h"
-#include "cowslip/consul.h"
 #include "cowslip/settings.h"
 
 namespace cowslip::daemon {
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -57,8 +57,7 @@
                          LastReason<DaemonError>& reason) {
   const auto options = ToNodeOptions(settings);
   LastReason<consul::ConsulError> fault;
-  auto watcher =
-      consul::StoreClient::Create(ToOptions(settings.store), fault);
+  auto watcher = consul::StoreClient::Create(ToOptions(settings.store), fault);
   auto caller = consul::StoreClient::Create(ToOptions(settings.store), fault);
   if (!watcher || !caller) {
     reason.Set(DaemonError::kStore, fault.Message());
--- a/packages/daemon/src/store_calls.cc
+++ b/packages/daemon/src/store_calls.cc
@@ -11,8 +11,7 @@
 constexpr milliseconds kMinRetry{300};
 constexpr milliseconds kMaxRetry{30'000};
 
-std::vector<relay::Peer> ToPeers(
-    const std::vector<consul::KeyValue>& records) {
+std::vector<relay::Peer> ToPeers(const std::vector<consul::KeyValue>& records) {
   std::vector<relay::Peer> peers;
   for (const auto& record : records) {
     LastReason<relay::RelayError> reason;
--- a/packages/daemon/src/store_watch.h
+++ b/packages/daemon/src/store_watch.h
@@ -14,8 +14,7 @@
 /// Holds the watch of the store, on a thread of its own, while it is wanted.
 class StoreWatch {
  public:
-  StoreWatch(consul::StoreClient client, Mailbox& mailbox,
-             std::uint64_t seed);
+  StoreWatch(consul::StoreClient client, Mailbox& mailbox, std::uint64_t seed);
   ~StoreWatch();
 
   void SetWanted(bool wanted);
--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -72,9 +72,7 @@
   /// Tells all balancers now.
   void Broadcast();
   /// @return messages to send; empty afterwards.
-  std::vector<Outgoing> TakeOutgoing() {
-    return std::exchange(outgoing_, {});
-  }
+  std::vector<Outgoing> TakeOutgoing() { return std::exchange(outgoing_, {}); }
 
   const PeerTable& table() const { return table_; }
   const PeerEntry& self() const { return self_; }
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -12,15 +12,15 @@
 /// newest one wins wherever two meet.
 struct PeerEntry {
   InstanceAddress address = 0;
-  bool balancer = false;  ///< Otherwise a sidecar.
+  bool balancer = false;          ///< Otherwise a sidecar.
   std::uint64_t incarnation = 0;  ///< Rises with each start of the process.
   std::uint32_t sequence = 0;     ///< Rises with each change within one start.
   std::string service;            ///< Of a sidecar.
   /// Start of the upstream that a sidecar serves, 0 if it has heard of none.
   std::uint64_t upstream = 0;
   std::uint64_t lease = 0;  ///< Of the entry in the store, 0 if unknown.
-  bool open = false;              ///< A sidecar's upstream takes connections.
-  bool left = false;              ///< Stopped as planned.
+  bool open = false;        ///< A sidecar's upstream takes connections.
+  bool left = false;        ///< Stopped as planned.
 
   bool operator==(const PeerEntry&) const = default;
   /// @return whether this was said after the other one.
--- a/packages/peers/include/cowslip/peers/watch_duty.h
+++ b/packages/peers/include/cowslip/peers/watch_duty.h
@@ -43,7 +43,8 @@
   /// @return whether others may rely on this balancer's watch: one that is cut
   ///     off from the store goes on trying, but no longer counts as a watcher.
   bool Reliable(TimePoint now) const {
-    return watching_ && verified_ && now - *verified_ < watch_time_ + kAnswerSlack;
+    return watching_ && verified_ &&
+           now - *verified_ < watch_time_ + kAnswerSlack;
   }
 
  private:
--- a/packages/peers/src/watch_duty.cc
+++ b/packages/peers/src/watch_duty.cc
@@ -13,9 +13,8 @@
 
 bool WatchDuty::Judge(TimePoint now) {
   const auto silence = watch_time_ + kNewsSlack;
-  std::erase_if(heard_, [&](const auto& entry) {
-    return now - entry.second > silence;
-  });
+  std::erase_if(
+      heard_, [&](const auto& entry) { return now - entry.second > silence; });
   if (watching_) {
     std::size_t before = 0;
     for (const auto& [watcher, heard] : heard_) {
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -67,8 +67,8 @@
   bool StillLearning(const Segment& segment, TimePoint now) const;
   void Refuse(const Segment& segment, Outbox& out);
   void Wait(PendingPacket&& pending, TimePoint now);
-  void OnContinuing(const Segment& segment, ByteView packet,
-                    const Route& route, TimePoint now, Outbox& out);
+  void OnContinuing(const Segment& segment, ByteView packet, const Route& route,
+                    TimePoint now, Outbox& out);
   /// Sends a packet and watches it until a sidecar has taken it.
   void Search(PendingPacket&& pending, TimePoint now, Outbox& out);
   void Send(PendingPacket& pending, TimePoint now, Outbox& out);
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -2,6 +2,8 @@
 
 #include <cstdint>
 
+#include "cowslip/base.h"
+
 namespace cowslip::segment {
 
 /// Counts since the start of a balancer.
@@ -16,6 +18,8 @@
   std::uint64_t resets = 0;            ///< Told to callers.
   std::uint64_t unheld = 0;            ///< Packets of flows that nobody holds.
   std::uint64_t unwatched = 0;         ///< Sent once, as too many wait.
+  /// From a packet whose sidecar was not known until a sidecar has taken it.
+  LatencyHistogram placement_time;
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/contact_book.h
+++ b/packages/segment/include/cowslip/segment/contact_book.h
@@ -38,7 +38,8 @@
   /// @return the wait that it last told, 0 if none is fresh.
   std::uint32_t ExpectedWaitUs(InstanceAddress sidecar, TimePoint now) const;
   /// Takes one of the free slots that a sidecar last told of.
-  /// @return whether there was one, or the sidecar has not told anything lately.
+  /// @return whether there was one, or the sidecar has not told anything
+  /// lately.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
   /// @return silent sidecars to probe now.
   const std::vector<InstanceAddress>& TakeDueProbes(TimePoint now);
--- a/packages/segment/include/cowslip/segment/flow_ledger.h
+++ b/packages/segment/include/cowslip/segment/flow_ledger.h
@@ -19,7 +19,7 @@
 /// What a sidecar knows of one flow.
 struct FlowEntry {
   FlowState state = FlowState::kOpening;
-  bool answered = false;  ///< The upstream answered the opening.
+  bool answered = false;   ///< The upstream answered the opening.
   bool expecting = false;  ///< Its first request is still to come.
   bool awaiting = false;   ///< A request is in progress.
   bool queued = false;     ///< All slots were taken when it started.
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -37,18 +37,18 @@
 };
 
 enum class Verdict : std::uint8_t {
-  kTaken,   ///< The sender's upstream got the packet.
-  kPassed,  ///< The sender passed the packet on.
+  kTaken,    ///< The sender's upstream got the packet.
+  kPassed,   ///< The sender passed the packet on.
   kUnheld,   ///< The list has ended, and nobody on it holds the flow.
   kUnknown,  ///< The list has ended; some could not tell.
-  kAlive,   ///< Answer to a probe.
+  kAlive,    ///< Answer to a probe.
 };
 
 /// What a sidecar tells a balancer about a packet, or about itself.
 struct Receipt {
   Verdict verdict{};
   bool syn = false;
-  bool open = false;  ///< The sender's upstream takes new connections.
+  bool open = false;         ///< The sender's upstream takes new connections.
   std::uint64_t config = 0;  ///< Newest version that the sender has seen.
   std::uint32_t expected_wait_us = 0;
   std::uint16_t free_slots = 0;  ///< At the sender's upstream.
--- a/packages/segment/include/cowslip/segment/load_estimate.h
+++ b/packages/segment/include/cowslip/segment/load_estimate.h
@@ -64,7 +64,8 @@
   std::uint32_t in_progress_ = 0;
   std::uint32_t expected_ = 0;
   bool warming_ = false;
-  double service_s_ = std::chrono::duration<double>(kInitialServiceTime).count();
+  double service_s_ =
+      std::chrono::duration<double>(kInitialServiceTime).count();
   double utilisation_ = 0;  ///< Moving mean of the share of busy slots.
   TimePoint updated_{};
 };
--- a/packages/segment/include/cowslip/segment/outbox.h
+++ b/packages/segment/include/cowslip/segment/outbox.h
@@ -26,8 +26,8 @@
   std::size_t size = 0;
 };
 
-/// Collects effects with their datagrams in one buffer, which keeps its size, so
-/// that no packet costs an allocation.
+/// Collects effects with their datagrams in one buffer, which keeps its size,
+/// so that no packet costs an allocation.
 class Outbox {
  public:
   void SendFrame(InstanceAddress to, const SegmentFrame& frame,
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -30,7 +30,6 @@
   TimePoint since{};  ///< Arrival.
 };
 
-using PendingPackets =
-    std::unordered_map<FlowKey, PendingPacket, FlowKeyHash>;
+using PendingPackets = std::unordered_map<FlowKey, PendingPacket, FlowKeyHash>;
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -72,7 +72,8 @@
   void PassOn(SegmentFrame& frame, const Segment& segment, ByteView packet,
               TimePoint now, Outbox& out);
   bool Holds(FlowEntry& entry, const Segment& segment) const;
-  /// @return whether the upstream may hold flows that this sidecar doesn't know.
+  /// @return whether the upstream may hold flows that this sidecar doesn't
+  /// know.
   bool MayHoldUnknown(TimePoint now) const;
   bool IsStale(const SegmentFrame& frame, TimePoint now) const;
   void NoteConfig(std::uint64_t config, TimePoint now);
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -67,9 +67,8 @@
 void LeaveOutSilent(const ContactBook& contacts, SegmentFrame& frame) {
   auto* const begin = frame.hops.begin();
   auto* const end = begin + frame.hop_count;
-  auto* const kept = std::remove_if(begin, end, [&](InstanceAddress hop) {
-    return contacts.IsSilent(hop);
-  });
+  auto* const kept = std::remove_if(
+      begin, end, [&](InstanceAddress hop) { return contacts.IsSilent(hop); });
   if (kept == end) return;
   frame.inconclusive = true;
   // With nobody left to ask, they are asked all the same.
@@ -320,11 +319,15 @@
     case Verdict::kPassed:
       OnPassed(sidecar, receipt, now);
       return;
-    case Verdict::kTaken:
+    case Verdict::kTaken: {
       hints_.Learn(receipt.flow, HashFlow(receipt.flow), UpstreamId{sidecar},
                    now);
-      pending_.erase(receipt.flow);
+      const auto found = pending_.find(receipt.flow);
+      if (found == pending_.end()) return;
+      stats_.placement_time.Record(now - found->second.since);
+      pending_.erase(found);
       return;
+    }
     case Verdict::kUnheld:
     case Verdict::kUnknown:
       OnUnheld(receipt, now, out);
@@ -349,8 +352,7 @@
   const auto* end = frame.hops.begin() + frame.hop_count;
   const auto* place = std::find(frame.hops.begin(), end, receipt.next);
   if (place == end) return;
-  pending.next_hop =
-      static_cast<std::uint8_t>(place - frame.hops.begin() + 1);
+  pending.next_hop = static_cast<std::uint8_t>(place - frame.hops.begin() + 1);
 }
 
 /// @return whether no member of a route can be unknown here.
--- a/packages/segment/src/contact_book.cc
+++ b/packages/segment/src/contact_book.cc
@@ -21,8 +21,7 @@
 
 bool ContactBook::IsSilent(InstanceAddress sidecar) const {
   const auto found = contacts_.find(sidecar);
-  return found != contacts_.end() &&
-         found->second.misses >= kMissesUntilSilent;
+  return found != contacts_.end() && found->second.misses >= kMissesUntilSilent;
 }
 
 bool ContactBook::IsOpen(InstanceAddress sidecar, bool listed_open) const {
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -93,14 +93,13 @@
 
 void AppendSegmentFrame(const SegmentFrame& frame, ByteView packet,
                         Bytes& out) {
-  AppendRaw(
-      wire::SegmentFrame(
-          kMagic, static_cast<std::uint8_t>(FrameKind::kSegment), frame.place,
-          frame.hop_count, frame.asked, frame.config,
-          static_cast<std::uint64_t>(frame.service), frame.balancer,
-          frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
-          frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0),
-      out);
+  AppendRaw(wire::SegmentFrame(
+                kMagic, static_cast<std::uint8_t>(FrameKind::kSegment),
+                frame.place, frame.hop_count, frame.asked, frame.config,
+                static_cast<std::uint64_t>(frame.service), frame.balancer,
+                frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
+                frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0),
+            out);
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
     AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
   }
@@ -108,15 +107,14 @@
 }
 
 void AppendReceipt(const Receipt& receipt, Bytes& out) {
-  AppendRaw(
-      wire::Receipt(kMagic, static_cast<std::uint8_t>(FrameKind::kReceipt),
-                    static_cast<std::uint8_t>(receipt.verdict),
-                    receipt.syn ? 1 : 0, receipt.open ? 1 : 0, receipt.config,
-                    receipt.expected_wait_us, receipt.flow.caller.address,
-                    receipt.flow.service.address, receipt.flow.caller.port,
-                    receipt.flow.service.port, receipt.caller_ack,
-                    receipt.next, receipt.free_slots),
-      out);
+  AppendRaw(wire::Receipt(
+                kMagic, static_cast<std::uint8_t>(FrameKind::kReceipt),
+                static_cast<std::uint8_t>(receipt.verdict), receipt.syn ? 1 : 0,
+                receipt.open ? 1 : 0, receipt.config, receipt.expected_wait_us,
+                receipt.flow.caller.address, receipt.flow.service.address,
+                receipt.flow.caller.port, receipt.flow.service.port,
+                receipt.caller_ack, receipt.next, receipt.free_slots),
+            out);
 }
 
 void AppendProbe(Bytes& out) {
--- a/packages/segment/src/load_estimate.cc
+++ b/packages/segment/src/load_estimate.cc
@@ -17,10 +17,9 @@
   const double elapsed = std::chrono::duration<double>(now - updated_).count();
   updated_ = now;
   if (elapsed <= 0) return;
-  const double busy =
-      std::min(1.0, static_cast<double>(in_progress_) / slots_);
-  const double keep =
-      std::exp(-elapsed / std::chrono::duration<double>(kUtilisationTime).count());
+  const double busy = std::min(1.0, static_cast<double>(in_progress_) / slots_);
+  const double keep = std::exp(
+      -elapsed / std::chrono::duration<double>(kUtilisationTime).count());
   utilisation_ = utilisation_ * keep + busy * (1 - keep);
 }
 
@@ -50,8 +49,8 @@
 
 std::chrono::microseconds LoadEstimate::ExpectedWait(TimePoint now) {
   Advance(now);
-  const double waiting = std::max(
-      0.0, static_cast<double>(in_progress_ + expected_ + 1) - slots_);
+  const double waiting =
+      std::max(0.0, static_cast<double>(in_progress_ + expected_ + 1) - slots_);
   const double service = service_s_ * (warming_ ? kWarmupFactor : 1.0);
   const double own = service * (1 + waiting / slots_);
   const double crowd = 1 - std::min(utilisation_, kMaxUtilisation);
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -41,8 +41,7 @@
 }
 
 bool Sidecar::MayHoldUnknown(TimePoint now) const {
-  return has_predecessor_ && !gate_.saw_start() &&
-         now - started_ < kOldestFlow;
+  return has_predecessor_ && !gate_.saw_start() && now - started_ < kOldestFlow;
 }
 
 void Sidecar::OnFrame(SegmentFrame frame, const Segment& segment,
@@ -89,8 +88,7 @@
     Take(frame, segment, packet, now, out);
     return;
   }
-  const auto wait =
-      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
+  const auto wait = static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
   if (load_.CanQueue() && wait < frame.best_wait_us) {
     frame.best_wait_us = wait;
     frame.best_place = frame.place;
@@ -198,6 +196,7 @@
 void Sidecar::EndRequest(FlowEntry& entry, TimePoint now) {
   if (!entry.awaiting) return;
   entry.awaiting = false;
+  stats_.request_time.Record(now - entry.asked_at);
   load_.OnAnswered(now - entry.asked_at, entry.queued, now);
 }
 
@@ -235,8 +234,7 @@
   ++stats_.unheld;
   Report("unheld", frame.inconclusive ? "some_unknown" : "list_ended",
          segment.flow, frame);
-  TellBalancer(frame,
-               frame.inconclusive ? Verdict::kUnknown : Verdict::kUnheld,
+  TellBalancer(frame, frame.inconclusive ? Verdict::kUnknown : Verdict::kUnheld,
                segment, now, out);
 }
 
@@ -340,9 +338,8 @@
   if (now - swept_ < kSweepInterval) return;
   swept_ = now;
   load_.SetWarmup(gate_.report().warmup_left > std::chrono::milliseconds{0});
-  ledger_.Expire(now, [&](const FlowKey&, FlowEntry& entry) {
-    Forget(entry, now);
-  });
+  ledger_.Expire(now,
+                 [&](const FlowKey&, FlowEntry& entry) { Forget(entry, now); });
 }
 
 ReportVerdict Sidecar::OnReport(const UpstreamReport& report, TimePoint now) {
--- a/packages/segment/src/upstream_gate.cc
+++ b/packages/segment/src/upstream_gate.cc
@@ -21,12 +21,12 @@
 bool UpstreamGate::IsOutdated(const UpstreamReport& report,
                               TimePoint now) const {
   if (!reported_) return false;
-  const bool same_start = report.id == report_.id && report.born == report_.born;
+  const bool same_start =
+      report.id == report_.id && report.born == report_.born;
   if (same_start) return report.sequence <= report_.sequence;
   if (report.born >= report_.born) return false;
   // The time of day may have been set back between two starts.
-  const bool left =
-      state_ == GateState::kGone || state_ == GateState::kSilent;
+  const bool left = state_ == GateState::kGone || state_ == GateState::kSilent;
   return !left && now - heard_ < kSuccession;
 }
 
--- a/packages/telemetry/include/cowslip/telemetry/bounded_log.h
+++ b/packages/telemetry/include/cowslip/telemetry/bounded_log.h
@@ -8,8 +8,8 @@
 
 /// What a process's log may take up.
 struct LogLimits {
-  std::size_t lines_per_second = 400;      ///< Lines beyond are counted only.
-  std::size_t buffer_bytes = 128 * 1024;   ///< Waiting for the output.
+  std::size_t lines_per_second = 400;     ///< Lines beyond are counted only.
+  std::size_t buffer_bytes = 128 * 1024;  ///< Waiting for the output.
 };
 
 /// Sets up a log on standard output that never blocks: lines wait in a buffer
--- a/packages/telemetry/include/cowslip/telemetry/metrics.h
+++ b/packages/telemetry/include/cowslip/telemetry/metrics.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "cowslip/base.h"
+
 namespace cowslip::telemetry {
 
 /// Labels of a metric.
@@ -25,6 +27,12 @@
                                    const std::string& help, double value,
                                    const Labels& labels = {});
 
+/// Builds a family with one histogram of seconds. @param name ends in
+///     "_seconds".
+prometheus::MetricFamily MakeHistogram(const std::string& name,
+                                       const std::string& help,
+                                       const LatencyHistogram& histogram);
+
 /// The metrics of a process; sources are read when somebody asks.
 class Metrics {
  public:
--- a/packages/telemetry/src/metrics.cc
+++ b/packages/telemetry/src/metrics.cc
@@ -36,6 +36,33 @@
   return family;
 }
 
+prometheus::MetricFamily MakeHistogram(const std::string& name,
+                                       const std::string& help,
+                                       const LatencyHistogram& histogram) {
+  prometheus::MetricFamily family;
+  family.name = name;
+  family.help = help;
+  family.type = prometheus::MetricType::Histogram;
+  prometheus::ClientMetric metric;
+  std::uint64_t cumulative = 0;
+  for (std::size_t i = 0; i < histogram.counts().size(); ++i) {
+    cumulative += histogram.counts()[i];
+    prometheus::ClientMetric::Bucket bucket;
+    bucket.cumulative_count = cumulative;
+    const bool last = i == LatencyHistogram::kBounds.size();
+    bucket.upper_bound =
+        last ? std::numeric_limits<double>::infinity()
+             : std::chrono::duration<double>(LatencyHistogram::kBounds[i])
+                   .count();
+    metric.histogram.bucket.push_back(bucket);
+  }
+  metric.histogram.sample_count = cumulative;
+  metric.histogram.sample_sum =
+      std::chrono::duration<double>(histogram.sum()).count();
+  family.metric.push_back(std::move(metric));
+  return family;
+}
+
 void Metrics::Add(std::shared_ptr<prometheus::Collectable> source) {
   const std::lock_guard lock(mutex_);
   sources_.push_back(std::move(source));
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -1,7 +1,6 @@
 // What the adapter reads from outside: packets, settings, heartbeats, routes.
 #define BOOST_TEST_MODULE adapter
 #include <boost/test/unit_test.hpp>
-
 #include <random>
 #include <string>
 
@@ -15,8 +14,8 @@
 
 /// An opening from 100.64.0.9:40002 to 198.18.0.3:80.
 Bytes MakeOpening() {
-  return {0, 0, 0, 0, 9, 0, 0x40, 100, 3,    0, 18, 198, 80, 0, 0x42, 0x9C, 5,
-          0, 0, 0, 2, 0, 0,    0,   0x11, 1, 1,  1,   16, 0, 0,    0,    0, 0};
+  return {0, 0, 0, 0, 9, 0, 0x40, 100,  3, 0, 18, 198, 80, 0, 0x42, 0x9C, 5,
+          0, 0, 0, 2, 0, 0, 0,    0x11, 1, 1, 1,  16,  0,  0, 0,    0,    0};
 }
 
 const char* const kSettings = R"({
@@ -126,9 +125,12 @@
 
 BOOST_AUTO_TEST_CASE(HeartbeatsOfOtherWritersAreRefused) {
   const std::pair<const char*, const char*> cases[] = {
-      {"\"capacity\":2", "\"capacity\":\"2\""}, {"\"ready\"", "\"resting\""},
-      {"\"seq\":4,", ""},                       {"\"born\":1700", "\"born\":1.5"},
-      {"\"capacity\":2", "\"capacity\":0"},     {"10.1.0.9:8165", "nowhere"}};
+      {"\"capacity\":2", "\"capacity\":\"2\""},
+      {"\"ready\"", "\"resting\""},
+      {"\"seq\":4,", ""},
+      {"\"born\":1700", "\"born\":1.5"},
+      {"\"capacity\":2", "\"capacity\":0"},
+      {"10.1.0.9:8165", "nowhere"}};
   for (const auto& [from, to] : cases) {
     LastReason<AdapterError> reason;
     BOOST_TEST(!ParseHeartbeat("i-1", Replaced(kHeartbeat, from, to), reason));
@@ -150,7 +152,8 @@
   const auto* route = table->Find(*ParseEndpoint("198.18.0.1:8443"));
   BOOST_REQUIRE(route != nullptr);
   BOOST_TEST((route->Choose(1) == segment::TagOf("vault")));
-  BOOST_TEST(table->Find(*ParseEndpoint("198.18.0.2:80"))->targets.size() == 2U);
+  BOOST_TEST(table->Find(*ParseEndpoint("198.18.0.2:80"))->targets.size() ==
+             2U);
   BOOST_TEST((table->Find(*ParseEndpoint("198.18.0.2:81")) == nullptr));
 }
 
--- a/tests/consul_test.cc
+++ b/tests/consul_test.cc
@@ -70,4 +70,4 @@
 }
 
 }  // namespace
-}  // namespace cowslip::platform
+}  // namespace cowslip::consul
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -1,14 +1,13 @@
 // Gossip among instances in virtual time, and who watches the store.
 #define BOOST_TEST_MODULE peers
-#include <boost/test/unit_test.hpp>
+#include "cowslip/peers.h"
 
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <map>
 #include <memory>
 #include <random>
 
-#include "cowslip/peers.h"
-
 namespace cowslip::peers {
 namespace {
 
@@ -153,7 +152,8 @@
   fleet.Run(seconds(3));
   const auto before = fleet.bytes();
   fleet.Run(seconds(10));
-  const double per_second = static_cast<double>(fleet.bytes() - before) / 86 / 10;
+  const double per_second =
+      static_cast<double>(fleet.bytes() - before) / 86 / 10;
   BOOST_TEST(per_second < 3000);
 }
 
--- a/tests/process/control_cost.cc
+++ b/tests/process/control_cost.cc
@@ -3,8 +3,8 @@
 #include <sstream>
 #include <thread>
 
-#include "cowslip/membership.h"
 #include "cowslip/consul.h"
+#include "cowslip/membership.h"
 #include "tests/process/deployment.h"
 #include "tests/process/http.h"
 
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -177,11 +177,11 @@
   auto compaction = Compaction::Plan(registry, reason);
   while (!compaction->done()) BOOST_REQUIRE(compaction->Step(reason));
   // An operator who read the store before all of this writes now.
-  BOOST_TEST(
-      registry.client()
-          .PutCas(ticket::TicketKey(TicketNumber{4}), Text(4, "nguyen"), 0,
-                  *std::make_unique<LastReason<consul::ConsulError>>())
-          ->applied);
+  BOOST_TEST(registry.client()
+                 .PutCas(ticket::TicketKey(TicketNumber{4}), Text(4, "nguyen"),
+                         0,
+                         *std::make_unique<LastReason<consul::ConsulError>>())
+                 ->applied);
   BOOST_TEST(!registry.Submit(Text(4, "nguyen"), "t.yaml", reason).has_value());
   BOOST_TEST((reason.code() == RegistryError::kTaken));
   BOOST_TEST(reason.detail() == "held by quispe; the next number is 5");
--- a/tests/segment/fake_caller.h
+++ b/tests/segment/fake_caller.h
@@ -8,7 +8,14 @@
 
 namespace cowslip::segment::test {
 
-enum class CallState { kIdle, kOpening, kWaiting, kAnswered, kReset, kTimedOut };
+enum class CallState {
+  kIdle,
+  kOpening,
+  kWaiting,
+  kAnswered,
+  kReset,
+  kTimedOut
+};
 
 /// One caller's connection in virtual time; repeats packets as callers do.
 class FakeCaller {
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -111,8 +111,8 @@
   BOOST_TEST((world.sidecar(1).gate().state() == GateState::kSilent));
 }
 
-// lienthep-gw trouble-1, seed 505555576645: frames of an idle flow vanished at a
-// member that had left, while members that had just joined were asked.
+// lienthep-gw trouble-1, seed 505555576645: frames of an idle flow vanished at
+// a member that had left, while members that had just joined were asked.
 BOOST_AUTO_TEST_CASE(ASearchGetsPastMembersThatAreGone) {
   World world;
   world.AddBalancer(0);
@@ -317,13 +317,15 @@
   BOOST_TEST(in_aim >= 285);  // 95 % of the burst, at 0.8 of the capacity.
 }
 
-// Lossy links and every kind of restart at once: no flow of a living upstream is
-// reset, whatever the seed.
+// Lossy links and every kind of restart at once: no flow of a living upstream
+// is reset, whatever the seed.
 BOOST_AUTO_TEST_CASE(SeededTroubleNeverResetsALivingFlow) {
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     World world(seed);
     std::mt19937_64 random(seed);
-    const auto pick = [&](int count) { return static_cast<int>(random() % count); };
+    const auto pick = [&](int count) {
+      return static_cast<int>(random() % count);
+    };
     for (int i = 0; i < 3; ++i) world.AddBalancer(i);
     AddService(world, 8);
     world.SetLoss(0.01);
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -67,8 +67,8 @@
 BOOST_AUTO_TEST_CASE(GateIgnoresAnEarlierStart) {
   UpstreamGate gate;
   gate.OnReport(MakeReport("b", 500, 1), kStart);
-  BOOST_TEST((gate.OnReport(MakeReport("a", 1, 9, true),
-                            kStart + seconds(1)) == ReportVerdict::kOutdated));
+  BOOST_TEST((gate.OnReport(MakeReport("a", 1, 9, true), kStart + seconds(1)) ==
+              ReportVerdict::kOutdated));
   BOOST_TEST(gate.open());
 }
 
--- a/tests/segment/world.cc
+++ b/tests/segment/world.cc
@@ -108,7 +108,10 @@
 void World::TellMembers(int balancer, const std::string& service,
                         const std::vector<int>& sidecars) {
   std::vector<Member> members;
-  for (const int index : sidecars) members.push_back({SidecarAddress(index), true});
+  members.reserve(sidecars.size());
+  for (const int index : sidecars) {
+    members.push_back({SidecarAddress(index), true});
+  }
   balancers_.at(balancer)->SetMembers(TagOf(service), members, now_);
 }
 
@@ -173,8 +176,7 @@
         break;
       case EffectKind::kReset: {
         const auto caller = by_flow_.find(effect.flow);
-        const bool open =
-            caller != by_flow_.end() && caller->second->open();
+        const bool open = caller != by_flow_.end() && caller->second->open();
         if (open && HolderOf(effect.flow) >= 0) ++wrong_resets_;
         Segment reset;
         reset.flow = effect.flow;
