--- a/packages/segment/include/cowslip/segment/flow_ledger.h
+++ b/packages/segment/include/cowslip/segment/flow_ledger.h
@@ -29,7 +29,6 @@
   std::uint32_t caller_next = 0;   ///< Behind the caller's data so far.
   bool caller_seen = false;
   TimePoint asked_at{};  ///< When the request in progress started.
-  TimePoint opened{};
   TimePoint active{};
 };
 
--- a/packages/segment/include/cowslip/segment/outbox.h
+++ b/packages/segment/include/cowslip/segment/outbox.h
@@ -59,7 +59,6 @@
   ByteView DatagramOf(const Effect& effect) const {
     return ByteView(bytes_).subspan(effect.offset, effect.size);
   }
-  bool empty() const { return effects_.empty(); }
   void Clear() {
     effects_.clear();
     bytes_.clear();
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <cstdint>
-#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -36,8 +35,6 @@
 struct RouteTable {
   std::uint64_t version = 0;  ///< 0: none is known.
   std::unordered_map<Endpoint, Route, EndpointHash> routes;
-  /// Path of each service's health check.
-  std::unordered_map<ServiceTag, std::string> health_paths;
 
   const Route* Find(const Endpoint& address) const;
   /// Keeps the services that open connections of the previous version use.
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -38,7 +38,6 @@
   void OnTick(TimePoint now, Outbox& out);
 
   ReportVerdict OnReport(const UpstreamReport& report, TimePoint now);
-  void OnHealthy(std::string_view id, TimePoint now);
   void OnDeregistered(std::string_view id) { gate_.OnDeregistered(id); }
   /// @param has an earlier process of this instance may have placed flows that
   ///     the upstream still holds; true until it is known.
--- a/packages/segment/include/cowslip/segment/upstream_gate.h
+++ b/packages/segment/include/cowslip/segment/upstream_gate.h
@@ -39,8 +39,6 @@
   static constexpr std::chrono::seconds kSuccession{3};
 
   ReportVerdict OnReport(const UpstreamReport& report, TimePoint now);
-  /// A health check answered before the first report came.
-  void OnHealthy(std::string_view id, TimePoint now);
   void OnDeregistered(std::string_view id);
   void OnUnanswered();
   void OnAnswered();
--- a/packages/segment/src/flow_ledger.cc
+++ b/packages/segment/src/flow_ledger.cc
@@ -29,7 +29,6 @@
   auto& entry = flows_[flow];
   entry = FlowEntry{};
   entry.state = state;
-  entry.opened = now;
   entry.active = now;
   return entry;
 }
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -350,10 +350,6 @@
   return verdict;
 }
 
-void Sidecar::OnHealthy(std::string_view id, TimePoint now) {
-  gate_.OnHealthy(id, now);
-}
-
 void Sidecar::TellBalancer(const SegmentFrame& frame, Verdict verdict,
                            const Segment& segment, TimePoint now, Outbox& out,
                            InstanceAddress next) {
--- a/packages/segment/src/upstream_gate.cc
+++ b/packages/segment/src/upstream_gate.cc
@@ -54,13 +54,6 @@
   return fresh_start ? ReportVerdict::kNewIncarnation : ReportVerdict::kApplied;
 }
 
-void UpstreamGate::OnHealthy(std::string_view id, TimePoint now) {
-  if (reported_ || state_ != GateState::kUnknown) return;
-  report_.id = id;
-  heard_ = now;
-  state_ = GateState::kOpen;
-}
-
 void UpstreamGate::OnDeregistered(std::string_view id) {
   if (!report_.id.empty() && id != report_.id) return;
   state_ = GateState::kGone;
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -145,7 +145,7 @@
            {"host":"198.18.0.1","prefix":"/8443/","service":"vault"},
            {"host":"198.18.0.2","prefix":"/80/","split":[
              {"service":"a","weight":90},{"service":"b","weight":10}]}],
-          "services":[{"name":"vault","healthPath":"/healthz"}]})",
+          "services":[{"name":"vault"}]})",
       reason);
   BOOST_REQUIRE_MESSAGE(table.has_value(), reason.Message());
   BOOST_TEST(table->version == 7U);
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -230,6 +230,17 @@
   BOOST_TEST((after.Find(address)->Choose(123) == TagOf("new")));
 }
 
+BOOST_AUTO_TEST_CASE(HistogramsCountByUpperBound) {
+  LatencyHistogram histogram;
+  histogram.Record(milliseconds(1));
+  histogram.Record(milliseconds(3));
+  histogram.Record(seconds(9));
+  BOOST_TEST(histogram.counts().front() == 1U);
+  BOOST_TEST(histogram.counts()[2] == 1U);
+  BOOST_TEST(histogram.counts().back() == 1U);
+  BOOST_TEST((histogram.sum() == milliseconds(9004)));
+}
+
 BOOST_AUTO_TEST_CASE(SplitRoutesFollowTheirWeights) {
   Route route;
   route.targets = {{TagOf("a"), 90}, {TagOf("b"), 10}};
