--- a/scripts/lint_manifest.py
+++ b/scripts/lint_manifest.py
@@ -11,6 +11,7 @@
 
 import hashlib
 import pathlib
+import re
 import subprocess
 import sys
 
@@ -48,7 +49,8 @@
 
 
 def make_keys():
-    version = run("clang-tidy", "--version")
+    # Only the version: the rest of the text names the processor.
+    version = re.search(r"version (\S+)", run("clang-tidy", "--version"))[1]
     common = hashlib.sha256(
         (version + (ROOT / ".clang-tidy").read_text()).encode()).digest()
     contents = {}
