Rank the chosen service of a route once for each packet

A search list ranked the members of the chosen service twice, also for packets whose sidecar is known. The order of the list is the same. segment_test passes.

--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -237,8 +237,11 @@
 void Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
                                std::size_t skip, SegmentFrame& frame) {
   search_order_.clear();
-  AppendRanked(route.Choose(hash), hash);
-  for (const auto& target : route.targets) AppendRanked(target.service, hash);
+  const auto chosen = route.Choose(hash);
+  AppendRanked(chosen, hash);
+  for (const auto& target : route.targets) {
+    if (target.service != chosen) AppendRanked(target.service, hash);
+  }
   for (const auto& former : route.former) AppendRanked(former, hash);
   for (auto i = skip; i < search_order_.size(); ++i) {
     Append(frame, search_order_[i]);
