--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -76,8 +76,10 @@
   bool BuildList(PendingPacket& pending, TimePoint now);
   void BuildOpeningList(const Service& service, std::uint64_t hash,
                         TimePoint now, SegmentFrame& frame);
-  void BuildSearchList(const Route& route, std::uint64_t hash, std::size_t skip,
-                       SegmentFrame& frame);
+  /// @return how many members behind those skipped the list covers.
+  std::size_t BuildSearchList(const Route& route, std::uint64_t hash,
+                              std::size_t skip, TimePoint now,
+                              SegmentFrame& frame);
   void AppendRanked(ServiceTag service, std::uint64_t hash);
   void OnPassed(InstanceAddress sidecar, const Receipt& receipt, TimePoint now);
   /// Resets a lost flow if an upstream has a free slot for the next try.
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -30,6 +30,9 @@
   bool inconclusive = false;
   /// The balancer doesn't know the flow's sidecar: it wants to be told.
   bool searched = false;
+  /// The sidecars on the list serve services that the route is not known to
+  /// have led to: only what they hold is for their upstreams.
+  bool other_service = false;
   /// Least expected wait among the visited sidecars, and its place.
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -20,6 +20,8 @@
   InstanceAddress waiting_for = 0;
   /// Members ahead of the list that were asked for the flow.
   std::size_t searched = 0;
+  /// Members that the list covers, the silent ones that were left out included.
+  std::size_t covered = 0;
   /// Some member may hold the flow without having said so.
   bool uncertain = false;
   /// All members have said once that they don't hold its flow.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -27,6 +27,11 @@
 constexpr std::size_t kMaxPending = 1024;
 /// Interval at which lost flows are looked at again while all slots are taken.
 constexpr std::chrono::milliseconds kRoomInterval{20};
+/// Connections older than 60 s are discarded, so a balancer that has run for
+/// longer knows all services that a living one can be at.
+constexpr std::chrono::seconds kOldestFlow{70};
+/// More members than any search visits.
+constexpr std::size_t kAllSearched = SIZE_MAX / 2;
 /// A lost flow is forgotten after this time; its caller repeats and it is
 /// searched for again.
 constexpr std::chrono::milliseconds kLostLifetime{1500};
@@ -197,7 +202,9 @@
     BuildOpeningList(service->second, hash, now, frame);
   } else {
     frame.inconclusive = false;
-    BuildSearchList(*route, hash, pending.searched, frame);
+    frame.other_service = false;
+    pending.covered =
+        BuildSearchList(*route, hash, pending.searched, now, frame);
     pending.uncertain |= frame.inconclusive;
   }
   pending.next_hop = segment.opens() ? pending.next_hop : 0;
@@ -234,8 +241,13 @@
 
 /// Lists all members that may hold a flow, the likeliest first, and puts a part
 /// of them on the frame.
-void Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
-                               std::size_t skip, SegmentFrame& frame) {
+///
+/// Answers the pattern of a route that is moved to another service and
+/// balancers that start anew afterwards: they don't know where it led before,
+/// so the members of all other services are asked last.
+std::size_t Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
+                                      std::size_t skip, TimePoint now,
+                                      SegmentFrame& frame) {
   search_order_.clear();
   const auto chosen = route.Choose(hash);
   AppendRanked(chosen, hash);
@@ -243,10 +255,17 @@
     if (target.service != chosen) AppendRanked(target.service, hash);
   }
   for (const auto& former : route.former) AppendRanked(former, hash);
-  for (auto i = skip; i < search_order_.size(); ++i) {
-    Append(frame, search_order_[i]);
+  const bool knows_former = now - started_ >= kOldestFlow;
+  if (skip >= search_order_.size() && !knows_former) {
+    frame.other_service = true;
+    for (const auto& [tag, service] : services_) AppendRanked(tag, hash);
+  }
+  auto next = skip;
+  while (next < search_order_.size() && frame.hop_count < kMaxHops) {
+    Append(frame, search_order_[next++]);
   }
   LeaveOutSilent(contacts_, frame);
+  return next - skip;
 }
 
 void Balancer::Send(PendingPacket& pending, TimePoint now, Outbox& out) {
@@ -303,7 +322,8 @@
   SegmentFrame frame;
   frame.service = route.Choose(hash);
   if (hint) Append(frame, Raw(*hint));
-  BuildSearchList(route, hash, searching ? search->second.searched : 0, frame);
+  BuildSearchList(route, hash, searching ? search->second.searched : 0, now,
+                  frame);
   if (frame.hop_count == 0) return;
   frame.config = routes_->version;
   frame.balancer = self_;
@@ -391,7 +411,7 @@
 
 bool Balancer::SearchOn(PendingPacket& pending, TimePoint now, Outbox& out) {
   pending.waiting_for = 0;
-  pending.searched += kMaxHops;
+  pending.searched += pending.covered;
   if (BuildList(pending, now)) {
     Send(pending, now, out);
     return true;
@@ -462,7 +482,7 @@
     pending.searched = 0;
     if (!BuildList(pending, now)) return false;
     Send(pending, now, out);
-    pending.searched = search_order_.size();
+    pending.searched = kAllSearched;
     return true;
   }
   pending.uncertain = true;
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -60,6 +60,7 @@
   frame.forced = raw->forced() != 0;
   frame.inconclusive = raw->inconclusive() != 0;
   frame.searched = raw->searched() != 0;
+  frame.other_service = raw->other_service() != 0;
   frame.best_wait_us = raw->best_wait();
   frame.best_place = raw->best_place();
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
@@ -98,7 +99,8 @@
                 frame.place, frame.hop_count, frame.asked, frame.config,
                 static_cast<std::uint64_t>(frame.service), frame.balancer,
                 frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
-                frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0),
+                frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0,
+                frame.other_service ? 1 : 0),
             out);
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
     AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -143,7 +143,9 @@
     return;
   }
   if (entry == nullptr && MayHoldUnknown(now)) {
-    if (gate_.state() == GateState::kUnknown || frame.asked >= kMaxAsked) {
+    const bool askable = !frame.other_service && frame.asked < kMaxAsked &&
+                         gate_.state() != GateState::kUnknown;
+    if (!askable) {
       frame.inconclusive = true;
     } else {
       ++stats_.asked;
--- a/tests/segment/fake_upstream.cc
+++ b/tests/segment/fake_upstream.cc
@@ -79,6 +79,7 @@
 void FakeUpstream::Run(const FlowKey& flow) {
   ++busy_;
   ++runs_;
+  if (output_.runs) output_.runs(flow, flows_[flow].caller_next);
   output_.after(options_.service_time, [this, flow, start = start_] {
     if (!alive_ || start != start_) return;
     --busy_;
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -26,6 +26,9 @@
     /// @param token as it came with the packet.
     std::function<void(const Segment&, std::uint32_t token)> give_back;
     std::function<void(std::chrono::milliseconds, std::function<void()>)> after;
+    /// Begins to run the request that ends at this sequence number; may be
+    /// left out.
+    std::function<void(const FlowKey&, std::uint32_t end)> runs = nullptr;
   };
 
   FakeUpstream(const Options& options, Output output)
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -295,6 +295,58 @@
 // Full servers next to servers with room: a short burst on a service whose
 // servers differ in speed. Without visits to the least loaded, requests are
 // refused.
+/// A balancer that starts after a route was moved knows nothing of the service
+/// that the route led to before (fault soak, seeds 1 and 2).
+BOOST_AUTO_TEST_CASE(AFlowOutlivesAMoveOfItsRouteAndItsBalancer) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 3);
+  for (int i = 3; i < 6; ++i) world.AddSidecar(i, "custody");
+  world.TellAllMembers();
+  for (int i = 3; i < 6; ++i) world.Report(i);
+  OpenCallers(world, 20, milliseconds(10));
+  world.Run(kAim);
+  BOOST_TEST(Count(world, CallState::kAnswered) == 20);
+  world.AddBalancer(1);
+  world.SetRoutes(2, "custody");
+  world.TellAllMembers();
+  world.RouteTo(1);
+  world.Run(seconds(1));
+  for (auto& caller : world.callers()) caller->Ask();
+  world.Run(seconds(2));
+  BOOST_TEST(world.wrong_resets() == 0);
+  BOOST_TEST(Count(world, CallState::kAnswered) == 20);
+  for (int i = 3; i < 6; ++i) BOOST_TEST(world.upstream(i).foreign() == 0);
+}
+
+/// As above, and the sidecars have started anew, too: those of a service that
+/// the route never led to don't ask their upstreams for the flow.
+BOOST_AUTO_TEST_CASE(NoUpstreamOfAnotherServiceIsAskedForAFlow) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 2);
+  for (int i = 2; i < 6; ++i) {
+    world.AddSidecar(i, i < 4 ? "custody" : "archive");
+  }
+  world.TellAllMembers();
+  for (int i = 2; i < 6; ++i) world.Report(i);
+  OpenCallers(world, 20, milliseconds(10));
+  world.Run(kAim);
+  world.AddBalancer(1);
+  world.SetRoutes(2, "custody");
+  world.TellAllMembers();
+  for (int i = 0; i < 6; ++i) {
+    world.RestartSidecar(i, true);
+    world.Report(i);
+  }
+  world.RouteTo(1);
+  world.Run(seconds(1));
+  for (auto& caller : world.callers()) caller->Ask();
+  world.Run(seconds(2));
+  BOOST_TEST(world.wrong_resets() == 0);
+  for (int i = 4; i < 6; ++i) BOOST_TEST(world.upstream(i).foreign() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ABurstFillsAllUpstreams) {
   World world;
   world.AddBalancer(0);
