Openings without a free slot are queued beside a dead member

Cause: one member was gone for good after it, and stays listed until its lease ends; openings that no sidecar had a free slot for ended at the dead member, last on the list, so that the shortest queue was never used; they waited for free slots and were offered 25 times a second. Ruled out: the store (down for all, others recovered), the processor (0.012 of 0.25 cores). Change: a silent member is not on the list of an opening if there is another. Test: QueuesAreUsedBesideADeadMember, 12 of 18 in time before, 16 after.

--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -233,7 +233,14 @@
       choices.begin(), choices.begin() + count,
       [](const auto& a, const auto& b) { return a.wait_us < b.wait_us; });
   for (std::size_t i = 0; i < count; ++i) Append(frame, choices[i].sidecar);
-  // Those that seem closed or silent may have recovered: they come last.
+  // Those that seem closed may have opened: they come last. A silent one would
+  // swallow an opening that the others have no free slot for, instead of
+  // sending it to the shortest queue.
+  for (const auto* upstream : ranking_.order()) {
+    const auto sidecar = Raw(upstream->id);
+    if (!contacts_.IsSilent(sidecar)) Append(frame, sidecar);
+  }
+  if (frame.hop_count > 0) return;
   for (const auto* upstream : ranking_.order()) {
     Append(frame, Raw(upstream->id));
   }
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -369,6 +369,29 @@
   BOOST_TEST(in_aim >= 285);  // 95 % of the burst, at 0.8 of the capacity.
 }
 
+// A member that is gone for good stays listed until its lease ends: openings
+// that find no free slot are queued at the others all the same.
+BOOST_AUTO_TEST_CASE(QueuesAreUsedBesideADeadMember) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 4);
+  world.Cut(World::SidecarAddress(3));
+  OpenCallers(world, 20, milliseconds(40));
+  world.Run(seconds(1));
+  // Three upstreams have six slots, and twelve places in their queues.
+  constexpr int kBurst = 18;
+  for (int i = 0; i < kBurst; ++i) world.AddCaller().Open();
+  world.Run(seconds(1));
+  int in_aim = 0;
+  for (std::size_t i = 20; i < world.callers().size(); ++i) {
+    in_aim += world.callers()[i]->state() == CallState::kAnswered &&
+              world.callers()[i]->elapsed() < kAim;
+  }
+  // Those that arrive at the same moment don't see each other: some queues get
+  // more than others.
+  BOOST_TEST(in_aim >= kBurst * 5 / 6);
+}
+
 // Lossy links and every kind of restart at once: no flow of a living upstream
 // is reset, whatever the seed.
 BOOST_AUTO_TEST_CASE(SeededTroubleNeverResetsALivingFlow) {
