A balancer that reaches no sidecar leaves the rotation; repetitions are logged once

Cause: readiness asked for known members, not for members that answer. Ruled out: routing (the other balancers of the data centre served normally). Change: after 300 ms without an answer from any member it is not ready; probes bring it back. Test: ABalancerKnowsThatItReachesNobody. One log line for each opening that is repeated, as 4,700 lines a second had driven out those on readiness.

--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -52,8 +52,10 @@
 
   const RouteTable& routes() const { return *routes_; }
   const BalancerStats& stats() const { return stats_; }
-  /// @return whether there is a route to some service with an open member.
+  /// @return whether there is a route to some service with a member.
   bool CanServe() const;
+  /// @return whether no member of any service has answered for a while.
+  bool IsIsolated(TimePoint now) const;
 
  private:
   struct Service {
@@ -90,6 +92,7 @@
   bool SearchOn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool OfferAgain(PendingPacket& pending, TimePoint now, Outbox& out);
   bool AskAgain(PendingPacket& pending, TimePoint now, Outbox& out);
+  bool ReachesSomeMember() const;
   void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
   bool KnowsAllMembers(const Route& route, TimePoint now) const;
   void Report(std::string_view what, std::string_view reason,
@@ -100,6 +103,7 @@
   Observer* observer_;
   TimePoint started_;
   std::optional<TimePoint> complete_since_;
+  std::optional<TimePoint> isolated_since_;
   std::shared_ptr<const RouteTable> routes_;
   std::unordered_map<ServiceTag, Service> services_;
   ContactBook contacts_;
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -28,8 +28,9 @@
   bool unheld_once = false;
   /// Nobody holds the flow; it is reset when its caller's next try has room.
   bool lost = false;
-  TimePoint due{};    ///< When to repeat it.
-  TimePoint since{};  ///< Arrival.
+  bool repeated = false;  ///< Told once; a repetition follows each 40 ms.
+  TimePoint due{};        ///< When to repeat it.
+  TimePoint since{};      ///< Arrival.
 };
 
 using PendingPackets = std::unordered_map<FlowKey, PendingPacket, FlowKeyHash>;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -22,6 +22,9 @@
 /// A search visits 12 members in some 20 ms; with 60 members and one that is
 /// silent it ends within this time.
 constexpr std::chrono::milliseconds kSearchLifetime{600};
+/// A sidecar's process is back 0.6 s after a planned stop; all of them are
+/// silent at the same moment only after a mass restart or a partition.
+constexpr std::chrono::milliseconds kIsolatedAfter{300};
 /// Packets watched at the same time; a few hundred flows change their balancer
 /// when one joins.
 constexpr std::size_t kMaxPending = 1024;
@@ -112,6 +115,22 @@
   });
 }
 
+bool Balancer::ReachesSomeMember() const {
+  return std::any_of(services_.begin(), services_.end(), [&](const auto& each) {
+    const auto& members = each.second.ranked;
+    return std::any_of(members.begin(), members.end(), [&](const auto& member) {
+      return !contacts_.IsSilent(Raw(member.id));
+    });
+  });
+}
+
+/// Answers the pattern of a balancer behind a partition, which the routers
+/// reach and the sidecars don't: out of the rotation, its callers are served by
+/// others.
+bool Balancer::IsIsolated(TimePoint now) const {
+  return isolated_since_ && now - *isolated_since_ >= kIsolatedAfter;
+}
+
 void Balancer::OnPacket(const Segment& segment, ByteView packet, TimePoint now,
                         Outbox& out) {
   ++stats_.packets;
@@ -510,8 +529,11 @@
     const auto& flow = pending.segment.flow;
     if (pending.waiting_for != 0) {
       contacts_.OnMiss(pending.waiting_for, now);
-      Report("resend", "no_receipt", flow, pending.waiting_for,
-             pending.next_hop);
+      if (!pending.repeated) {
+        Report("resend", "no_receipt", flow, pending.waiting_for,
+               pending.next_hop);
+      }
+      pending.repeated = true;
     }
     if (pending.lost) {
       const bool over = now - pending.since > kLostLifetime;
@@ -530,6 +552,11 @@
   for (const auto sidecar : contacts_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
   }
+  if (!CanServe() || ReachesSomeMember()) {
+    isolated_since_.reset();
+  } else if (!isolated_since_) {
+    isolated_since_ = now;
+  }
 }
 
 void Balancer::Report(std::string_view what, std::string_view reason,
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -369,6 +369,25 @@
   BOOST_TEST(in_aim >= 285);  // 95 % of the burst, at 0.8 of the capacity.
 }
 
+// A balancer that is cut off from all sidecars is of no use in the rotation.
+BOOST_AUTO_TEST_CASE(ABalancerKnowsThatItReachesNobody) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 4);
+  OpenCallers(world, 10, milliseconds(20));
+  BOOST_TEST(!world.balancer(0).IsIsolated(world.now()));
+  // One that lives is enough.
+  for (int i = 0; i < 3; ++i) world.Cut(World::SidecarAddress(i));
+  OpenCallers(world, 60, milliseconds(20));
+  BOOST_TEST(!world.balancer(0).IsIsolated(world.now()));
+  world.Cut(World::SidecarAddress(3));
+  OpenCallers(world, 40, milliseconds(20));
+  BOOST_TEST(world.balancer(0).IsIsolated(world.now()));
+  world.Restore(World::SidecarAddress(2));
+  world.Run(milliseconds(300));
+  BOOST_TEST(!world.balancer(0).IsIsolated(world.now()));
+}
+
 // A member that is gone for good stays listed until its lease ends: openings
 // that find no free slot are queued at the others all the same.
 BOOST_AUTO_TEST_CASE(QueuesAreUsedBesideADeadMember) {
