Upstreams that are gone: their flows are reset, their sidecars are no members

Cause: one upstream did not return; its sidecar could not tell what it held, so no search for a lost flow came to an end; then its machine was removed and the silent member did the same. Ruled out: load (take reason=has_room), members unknown (all listed). Change: an upstream of which nothing was heard for two reports and 200 ms, while the sidecar ran, is absent. Its sidecar resets the flows that it held, is sure that it holds no others, and tells the balancers that it is vacant; they no longer list it. Tests failed first: AnUpstreamThatIsGoneHoldsUpResetsForTwoReports, FlowsOfADeadUpstreamAreReset; new: APauseOfTheSidecarIsNoSilenceOfTheUpstream, ASidecarIsVacantUntilItsUpstreamIsBack.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -58,6 +58,8 @@
   void SetLease(std::uint64_t lease) { self_.lease = lease; }
   /// Changes the own entry and tells the balancers.
   void SetOpen(bool open, std::uint64_t upstream, TimePoint now);
+  /// There is no upstream beside this sidecar, until SetOpen() says more.
+  void SetVacant(TimePoint now);
   void Leave(TimePoint now);
   /// What regular messages say of the configuration.
   void SetConfig(std::uint64_t config, bool watching);
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -21,6 +21,7 @@
   std::uint64_t lease = 0;  ///< Of the entry in the store, 0 if unknown.
   bool open = false;        ///< A sidecar's upstream takes connections.
   bool left = false;        ///< Stopped as planned.
+  bool vacant = false;      ///< A sidecar without upstream: no flow is there.
 
   bool operator==(const PeerEntry&) const = default;
   /// @return whether this was said after the other one.
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -53,12 +53,21 @@
 
 void Gossip::SetOpen(bool open, std::uint64_t upstream, TimePoint now) {
   now_ = now;
-  if (self_.open == open && self_.upstream == upstream) return;
+  if (self_.open == open && self_.upstream == upstream && !self_.vacant) return;
   self_.open = open;
+  self_.vacant = false;
   self_.upstream = upstream;
   TellSelf();
 }
 
+void Gossip::SetVacant(TimePoint now) {
+  now_ = now;
+  if (self_.vacant) return;
+  self_.vacant = true;
+  self_.open = false;
+  TellSelf();
+}
+
 void Gossip::Leave(TimePoint now) {
   now_ = now;
   self_.left = true;
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -23,6 +23,7 @@
   if (raw.service() != nullptr) entry.service = raw.service()->str();
   entry.open = raw.open();
   entry.left = raw.left();
+  entry.vacant = raw.vacant();
   entry.upstream = raw.upstream();
   entry.lease = raw.lease();
   return entry;
@@ -50,7 +51,7 @@
     entries.push_back(wire::CreateEntryDirect(
         builder, entry.address, entry.balancer, entry.incarnation,
         entry.sequence, entry.service.c_str(), entry.open, entry.left,
-        entry.upstream, entry.lease));
+        entry.upstream, entry.lease, entry.vacant));
   }
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config,
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -14,6 +14,7 @@
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/sidecar_stats.h"
 #include "cowslip/segment/upstream_gate.h"
+#include "cowslip/segment/upstream_presence.h"
 
 namespace cowslip::segment {
 
@@ -23,6 +24,10 @@
   Sidecar(InstanceAddress self, ServiceTag service, Observer& observer,
           TimePoint started);
 
+  void SetReportInterval(std::chrono::milliseconds interval) {
+    presence_.SetReportInterval(interval);
+  }
+
   /// A caller's packet, from a balancer or passed on by a sidecar.
   void OnFrame(SegmentFrame frame, const Segment& segment, ByteView packet,
                TimePoint now, Outbox& out);
@@ -45,7 +50,13 @@
   /// The instance is stopping: no new connections from now on.
   void Close() { stopping_ = true; }
 
-  bool open() const { return gate_.open() && !stopping_; }
+  bool open() const {
+    return gate_.open() && !stopping_ && !presence_.absent();
+  }
+  /// @return whether there is no upstream, so that no flow can be here.
+  bool vacant() const {
+    return presence_.absent() || gate_.state() == GateState::kGone;
+  }
   const UpstreamGate& gate() const { return gate_; }
   const SidecarStats& stats() const { return stats_; }
   const LoadEstimate& load() const { return load_; }
@@ -68,6 +79,8 @@
   void Deliver(FlowEntry& entry, const SegmentFrame& frame,
                const Segment& segment, ByteView packet, TimePoint now,
                Outbox& out);
+  void ResetLost(FlowEntry& entry, std::string_view reason,
+                 const Segment& segment, TimePoint now, Outbox& out);
   void PassOn(SegmentFrame& frame, const Segment& segment, ByteView packet,
               TimePoint now, Outbox& out);
   bool Holds(FlowEntry& entry, const Segment& segment) const;
@@ -95,6 +108,7 @@
   std::uint64_t newest_config_ = 0;
   TimePoint config_since_{};
   UpstreamGate gate_;
+  UpstreamPresence presence_;
   LoadEstimate load_;
   FlowLedger ledger_;
   FrameRing ring_;
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -41,6 +41,7 @@
 }
 
 bool Sidecar::MayHoldUnknown(TimePoint now) const {
+  if (presence_.absent()) return false;
   return has_predecessor_ && !gate_.saw_start() && now - started_ < kOldestFlow;
 }
 
@@ -138,6 +139,10 @@
                            ByteView packet, TimePoint now, Outbox& out) {
   auto* entry = ledger_.Find(segment.flow);
   if (entry != nullptr && Holds(*entry, segment)) {
+    if (presence_.absent()) {
+      ResetLost(*entry, "upstream_absent", segment, now, out);
+      return;
+    }
     if (entry->state == FlowState::kOpening) entry->state = FlowState::kOpen;
     Deliver(*entry, frame, segment, packet, now, out);
     return;
@@ -243,6 +248,7 @@
 void Sidecar::OnUpstreamPacket(const Segment& segment, ByteView packet,
                                TimePoint now, Outbox& out) {
   ++stats_.to_callers;
+  presence_.OnHeard();
   gate_.OnAnswered();
   auto* entry = ledger_.Find(segment.flow);
   if (entry == nullptr || entry->state == FlowState::kElsewhere) {
@@ -266,6 +272,7 @@
 void Sidecar::OnBounced(std::uint32_t token, const Segment& segment,
                         ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.bounced;
+  presence_.OnHeard();
   gate_.OnAnswered();
   auto* entry = ledger_.Find(segment.flow);
   const auto frame = ring_.Find(token, segment.flow);
@@ -285,11 +292,11 @@
   if (held) {
     // The upstream held it and doesn't any more: it has started anew. The
     // caller's next try needs an upstream that is ready.
-    Report("lost_flow", "upstream_bounced", segment.flow, SegmentFrame{});
-    if (!open() || entry->state == FlowState::kEnded) return;
-    Forget(*entry, now);
-    ++stats_.resets;
-    out.Reset(segment.flow, segment.ack);
+    if (!open()) {
+      Report("lost_flow", "upstream_not_ready", segment.flow, SegmentFrame{});
+      return;
+    }
+    ResetLost(*entry, "upstream_bounced", segment, now, out);
     return;
   }
   if (entry == nullptr) {
@@ -300,6 +307,16 @@
   PassOn(next, segment, packet, now, out);
 }
 
+/// Tells the caller of a flow that was here that the upstream has lost it.
+void Sidecar::ResetLost(FlowEntry& entry, std::string_view reason,
+                        const Segment& segment, TimePoint now, Outbox& out) {
+  Report("lost_flow", reason, segment.flow, SegmentFrame{});
+  if (entry.state == FlowState::kEnded) return;
+  Forget(entry, now);
+  ++stats_.resets;
+  out.Reset(segment.flow, segment.ack);
+}
+
 void Sidecar::OnProbe(InstanceAddress balancer, TimePoint now, Outbox& out) {
   Receipt receipt;
   receipt.verdict = Verdict::kAlive;
@@ -308,6 +325,7 @@
 }
 
 void Sidecar::OnTick(TimePoint now, Outbox& out) {
+  presence_.OnTick(now);
   while (!watch_.empty() && now >= watch_.front().due) {
     auto opening = watch_.front();
     watch_.pop_front();
@@ -347,6 +365,7 @@
 ReportVerdict Sidecar::OnReport(const UpstreamReport& report, TimePoint now) {
   const auto verdict = gate_.OnReport(report, now);
   if (verdict == ReportVerdict::kOutdated) return verdict;
+  presence_.OnHeard();
   load_.SetSlots(report.slots);
   if (verdict == ReportVerdict::kNewIncarnation) load_.Restart(now);
   return verdict;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -105,6 +105,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ASidecarIsVacantUntilItsUpstreamIsBack) {
+  Fleet fleet(1);
+  Populate(fleet, 4, 4);
+  fleet.At(102).SetOpen(true, 42, fleet.now());
+  fleet.At(102).SetVacant(fleet.now());
+  fleet.Run(milliseconds(500));
+  for (int i = 1; i <= 4; ++i) {
+    BOOST_TEST(fleet.At(i).table().Find(102)->vacant);
+    BOOST_TEST(!fleet.At(i).table().Find(102)->open);
+  }
+  // It is back, and leaves already: it may hold flows.
+  fleet.At(102).SetOpen(false, 42, fleet.now());
+  fleet.Run(milliseconds(500));
+  for (int i = 1; i <= 4; ++i) {
+    BOOST_TEST(!fleet.At(i).table().Find(102)->vacant);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARestartedInstanceLearnsOfItsPredecessor) {
   Fleet fleet(1);
   Populate(fleet, 4, 4);
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -192,6 +192,70 @@
   }
 }
 
+// A power loss from which one upstream doesn't return: its sidecar can't tell
+// at first what it holds, and knows after two missed reports that it is gone.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatIsGoneHoldsUpResetsForTwoReports) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 4);
+  OpenCallers(world, 20, milliseconds(20));
+  world.Run(seconds(1));
+  world.upstream(3).Crash();
+  for (int i = 0; i < 4; ++i) {
+    world.RestartSidecar(i, /*has_predecessor=*/i == 3);
+    if (i == 3) continue;
+    world.upstream(i).Restart();
+    world.Report(i);
+  }
+  world.AddBalancer(1);
+  world.SetRoutes(2, "vault");
+  world.TellAllMembers();
+  world.RouteTo(1);
+  world.Run(milliseconds(300));
+  for (auto& caller : world.callers()) caller->Ask();
+  world.Run(seconds(1));
+  BOOST_TEST(Count(world, CallState::kReset) == 0);
+  // Callers repeat a request 1.4 s and 3 s after it.
+  world.Run(2 * UpstreamPresence::kDefaultReportInterval + milliseconds(300));
+  BOOST_TEST(Count(world, CallState::kReset) == 20);
+  BOOST_TEST(world.wrong_resets() == 0);
+}
+
+// An upstream dies beside a living sidecar: its callers learn it before their
+// deadline of four seconds.
+BOOST_AUTO_TEST_CASE(FlowsOfADeadUpstreamAreReset) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 3);
+  OpenCallers(world, 30, milliseconds(20));
+  world.Run(seconds(1));
+  std::vector<FakeCaller*> lost;
+  for (auto& caller : world.callers()) {
+    if (world.HolderOf(caller->flow()) == 1) lost.push_back(caller.get());
+  }
+  BOOST_REQUIRE(!lost.empty());
+  world.upstream(1).Crash();
+  for (auto* caller : lost) caller->Ask();
+  world.Run(milliseconds(3500));
+  for (auto* caller : lost) {
+    BOOST_TEST((caller->state() == CallState::kReset));
+  }
+  BOOST_TEST(world.wrong_resets() == 0);
+}
+
+// A sidecar that stood still has heard nothing of its upstream meanwhile.
+BOOST_AUTO_TEST_CASE(APauseOfTheSidecarIsNoSilenceOfTheUpstream) {
+  UpstreamPresence presence;
+  TimePoint now{seconds(1000)};
+  presence.OnTick(now);
+  presence.OnTick(now += seconds(10));
+  BOOST_TEST(!presence.absent());
+  for (int i = 0; i < 120; ++i) presence.OnTick(now += milliseconds(20));
+  BOOST_TEST(presence.absent());
+  presence.OnHeard();
+  BOOST_TEST(!presence.absent());
+}
+
 BOOST_AUTO_TEST_CASE(NoFlowIsResetWhileItsHolderMayBeUnknown) {
   World world;
   world.AddBalancer(0);
--- a/tests/segment/world.cc
+++ b/tests/segment/world.cc
@@ -88,6 +88,8 @@
 
 void World::Report(int index, bool draining) {
   auto& site = *sidecars_.at(index);
+  site.reported = now_;
+  site.draining = draining;
   UpstreamReport report;
   report.id = "upstream-" + std::to_string(index) + "-" +
               std::to_string(site.upstream->start());
@@ -235,6 +237,10 @@
   }
   for (auto& [index, site] : sidecars_) {
     Outbox out;
+    const bool due =
+        site->reports > 0 &&
+        now_ - site->reported >= UpstreamPresence::kDefaultReportInterval;
+    if (due && site->upstream->alive()) Report(index, site->draining);
     site->sidecar->OnTick(now_, out);
     CarryOut(SidecarAddress(index), out);
   }
--- a/tests/segment/world.h
+++ b/tests/segment/world.h
@@ -35,7 +35,7 @@
                    const std::vector<int>& sidecars);
   void TellAllMembers();
 
-  /// The upstream reports itself to its sidecar.
+  /// The upstream reports itself to its sidecar, and each second from then on.
   void Report(int sidecar, bool draining = false);
   /// The sidecar's process is replaced; its upstream lives on.
   void RestartSidecar(int sidecar, bool has_predecessor);
@@ -66,6 +66,8 @@
     std::unique_ptr<FakeUpstream> upstream;
     std::unique_ptr<Sidecar> sidecar;
     std::uint64_t reports = 0;
+    TimePoint reported{};
+    bool draining = false;
   };
   struct Event {
     TimePoint time;
