--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -10,6 +10,7 @@
 #include "cowslip/segment/frame.h"              // IWYU pragma: export
 #include "cowslip/segment/load_estimate.h"      // IWYU pragma: export
 #include "cowslip/segment/member.h"             // IWYU pragma: export
+#include "cowslip/segment/member_lists.h"       // IWYU pragma: export
 #include "cowslip/segment/observer.h"           // IWYU pragma: export
 #include "cowslip/segment/outbox.h"             // IWYU pragma: export
 #include "cowslip/segment/route_table.h"        // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -12,6 +12,7 @@
 #include "cowslip/segment/balancer_stats.h"
 #include "cowslip/segment/contact_book.h"
 #include "cowslip/segment/member.h"
+#include "cowslip/segment/member_lists.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/pending_packet.h"
@@ -23,19 +24,22 @@
 /// flow needs: any balancer with the same members finds the same sidecars.
 class Balancer {
  public:
-  /// Sidecars among which a new connection is placed, by their load.
-  static constexpr std::size_t kPlacementChoices = 4;
   /// Flows whose sidecar is remembered.
   static constexpr std::size_t kHintCapacity = 8192;
 
   Balancer(InstanceAddress self, Observer& observer, TimePoint started);
+  Balancer(const Balancer&) = delete;
+  Balancer& operator=(const Balancer&) = delete;
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) {
     routes_ = std::move(routes);
   }
   /// Replaces the members of a service.
   void SetMembers(ServiceTag service, const std::vector<Member>& members,
-                  TimePoint now);
+                  TimePoint now) {
+    // Those that come with the first complete list did not join just now.
+    members_.Set(service, members, complete_since_.has_value(), now);
+  }
   /// All members that the store lists are known now.
   void SetComplete(TimePoint now) {
     if (!complete_since_) complete_since_ = now;
@@ -53,16 +57,11 @@
   const RouteTable& routes() const { return *routes_; }
   const BalancerStats& stats() const { return stats_; }
   /// @return whether there is a route to some service with a member.
-  bool CanServe() const;
+  bool CanServe() const { return members_.HasMembers(); }
   /// @return whether no member of any service has answered for a while.
   bool IsIsolated(TimePoint now) const;
 
  private:
-  struct Service {
-    std::vector<Upstream> ranked;  ///< Members as the ranking takes them.
-    TimePoint joined{};            ///< When a member was last added.
-  };
-
   void OnOpening(const Segment& segment, ByteView packet, TimePoint now,
                  Outbox& out);
   /// @return whether what is missing for an opening may only be unknown yet.
@@ -76,13 +75,6 @@
   void Send(PendingPacket& pending, TimePoint now, Outbox& out);
   /// @return whether there is a sidecar to send it to.
   bool BuildList(PendingPacket& pending, TimePoint now);
-  void BuildOpeningList(const Service& service, std::uint64_t hash,
-                        TimePoint now, SegmentFrame& frame);
-  /// @return how many members behind those skipped the list covers.
-  std::size_t BuildSearchList(const Route& route, std::uint64_t hash,
-                              std::size_t skip, TimePoint now,
-                              SegmentFrame& frame);
-  void AppendRanked(ServiceTag service, std::uint64_t hash);
   void OnPassed(InstanceAddress sidecar, const Receipt& receipt, TimePoint now);
   /// Resets a lost flow if an upstream has a free slot for the next try.
   /// @return whether it was reset.
@@ -92,7 +84,7 @@
   bool SearchOn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool OfferAgain(PendingPacket& pending, TimePoint now, Outbox& out);
   bool AskAgain(PendingPacket& pending, TimePoint now, Outbox& out);
-  bool ReachesSomeMember() const;
+  bool KnowsFormerServices(TimePoint now) const;
   void OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out);
   bool KnowsAllMembers(const Route& route, TimePoint now) const;
   void Report(std::string_view what, std::string_view reason,
@@ -105,11 +97,9 @@
   std::optional<TimePoint> complete_since_;
   std::optional<TimePoint> isolated_since_;
   std::shared_ptr<const RouteTable> routes_;
-  std::unordered_map<ServiceTag, Service> services_;
   ContactBook contacts_;
+  MemberLists members_;
   flow::HintCache hints_;
-  flow::Ranking ranking_;
-  std::vector<InstanceAddress> search_order_;
   PendingPackets pending_;
   BalancerStats stats_;
 };
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -41,16 +41,6 @@
 /// News take a few milliseconds, or 100 ms through an instance that used up its
 /// share of the processor.
 constexpr std::chrono::milliseconds kNewsTime{200};
-/// Lost news of a member are mended by the regular messages within this time.
-constexpr std::chrono::milliseconds kSettledAfter{700};
-
-Upstream ToUpstream(const Member& member) {
-  Upstream upstream;
-  upstream.id = UpstreamId{member.sidecar};
-  upstream.state =
-      member.open ? UpstreamState::kActive : UpstreamState::kDraining;
-  return upstream;
-}
 
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
@@ -59,30 +49,6 @@
   return std::move(*hints);
 }
 
-bool Contains(const SegmentFrame& frame, InstanceAddress hop) {
-  const auto* end = frame.hops.begin() + frame.hop_count;
-  return std::find(frame.hops.begin(), end, hop) != end;
-}
-
-void Append(SegmentFrame& frame, InstanceAddress hop) {
-  if (frame.hop_count < kMaxHops && !Contains(frame, hop)) {
-    frame.hops[frame.hop_count++] = hop;
-  }
-}
-
-/// Silent sidecars lose a frame, so they are left out; one of them may hold the
-/// flow.
-void LeaveOutSilent(const ContactBook& contacts, SegmentFrame& frame) {
-  auto* const begin = frame.hops.begin();
-  auto* const end = begin + frame.hop_count;
-  auto* const kept = std::remove_if(
-      begin, end, [&](InstanceAddress hop) { return contacts.IsSilent(hop); });
-  if (kept == end) return;
-  frame.inconclusive = true;
-  // With nobody left to ask, they are asked all the same.
-  if (kept != begin) frame.hop_count = static_cast<std::uint8_t>(kept - begin);
-}
-
 }  // namespace
 
 Balancer::Balancer(InstanceAddress self, Observer& observer, TimePoint started)
@@ -90,38 +56,12 @@
       observer_(&observer),
       started_(started),
       routes_(std::make_shared<RouteTable>()),
+      members_(contacts_),
       hints_(MakeHints()) {}
 
-void Balancer::SetMembers(ServiceTag tag, const std::vector<Member>& members,
-                          TimePoint now) {
-  auto& service = services_[tag];
-  std::vector<Upstream> before;
-  before.swap(service.ranked);
-  for (const auto& member : members) {
-    const auto upstream = ToUpstream(member);
-    const bool known =
-        std::any_of(before.begin(), before.end(),
-                    [&](const auto& each) { return each.id == upstream.id; });
-    // Those that come with the first complete list did not join just now.
-    if (!known && complete_since_) service.joined = now;
-    service.ranked.push_back(upstream);
-  }
-}
-
-bool Balancer::CanServe() const {
-  if (routes_->version == 0) return false;
-  return std::any_of(services_.begin(), services_.end(), [](const auto& entry) {
-    return !entry.second.ranked.empty();
-  });
-}
-
-bool Balancer::ReachesSomeMember() const {
-  return std::any_of(services_.begin(), services_.end(), [&](const auto& each) {
-    const auto& members = each.second.ranked;
-    return std::any_of(members.begin(), members.end(), [&](const auto& member) {
-      return !contacts_.IsSilent(Raw(member.id));
-    });
-  });
+/// @return whether it has run for longer than any open connection has.
+bool Balancer::KnowsFormerServices(TimePoint now) const {
+  return now - started_ >= kOldestFlow;
 }
 
 /// Answers the pattern of a balancer behind a partition, which the routers
@@ -216,84 +156,18 @@
   if (route == nullptr) return false;
   frame.service = route->Choose(hash);
   if (segment.opens()) {
-    const auto service = services_.find(frame.service);
-    if (service == services_.end()) return false;
-    BuildOpeningList(service->second, hash, now, frame);
+    members_.ListForOpening(hash, now, frame);
   } else {
     frame.inconclusive = false;
     frame.other_service = false;
-    pending.covered =
-        BuildSearchList(*route, hash, pending.searched, now, frame);
+    pending.covered = members_.ListForSearch(*route, hash, pending.searched,
+                                             KnowsFormerServices(now), frame);
     pending.uncertain |= frame.inconclusive;
   }
   pending.next_hop = segment.opens() ? pending.next_hop : 0;
   return frame.hop_count > 0;
 }
 
-/// Orders the first-ranked sidecars by the wait that they last told.
-void Balancer::BuildOpeningList(const Service& service, std::uint64_t hash,
-                                TimePoint now, SegmentFrame& frame) {
-  ranking_.Build(service.ranked, hash);
-  struct Choice {
-    InstanceAddress sidecar;
-    std::uint32_t wait_us;
-  };
-  std::array<Choice, kPlacementChoices> choices;
-  std::size_t count = 0;
-  for (const auto* upstream : ranking_.order()) {
-    const auto sidecar = Raw(upstream->id);
-    const bool listed_open = upstream->state == UpstreamState::kActive;
-    if (!contacts_.IsOpen(sidecar, listed_open)) continue;
-    if (contacts_.IsSilent(sidecar)) continue;
-    choices[count++] = {sidecar, contacts_.ExpectedWaitUs(sidecar, now)};
-    if (count == choices.size()) break;
-  }
-  std::stable_sort(
-      choices.begin(), choices.begin() + count,
-      [](const auto& a, const auto& b) { return a.wait_us < b.wait_us; });
-  for (std::size_t i = 0; i < count; ++i) Append(frame, choices[i].sidecar);
-  // Those that seem closed may have opened: they come last. A silent one would
-  // swallow an opening that the others have no free slot for, instead of
-  // sending it to the shortest queue.
-  for (const auto* upstream : ranking_.order()) {
-    const auto sidecar = Raw(upstream->id);
-    if (!contacts_.IsSilent(sidecar)) Append(frame, sidecar);
-  }
-  if (frame.hop_count > 0) return;
-  for (const auto* upstream : ranking_.order()) {
-    Append(frame, Raw(upstream->id));
-  }
-}
-
-/// Lists all members that may hold a flow, the likeliest first, and puts a part
-/// of them on the frame.
-///
-/// Answers the pattern of a route that is moved to another service and
-/// balancers that start anew afterwards: they don't know where it led before,
-/// so the members of all other services are asked last.
-std::size_t Balancer::BuildSearchList(const Route& route, std::uint64_t hash,
-                                      std::size_t skip, TimePoint now,
-                                      SegmentFrame& frame) {
-  search_order_.clear();
-  const auto chosen = route.Choose(hash);
-  AppendRanked(chosen, hash);
-  for (const auto& target : route.targets) {
-    if (target.service != chosen) AppendRanked(target.service, hash);
-  }
-  for (const auto& former : route.former) AppendRanked(former, hash);
-  const bool knows_former = now - started_ >= kOldestFlow;
-  if (skip >= search_order_.size() && !knows_former) {
-    frame.other_service = true;
-    for (const auto& [tag, service] : services_) AppendRanked(tag, hash);
-  }
-  auto next = skip;
-  while (next < search_order_.size() && frame.hop_count < kMaxHops) {
-    Append(frame, search_order_[next++]);
-  }
-  LeaveOutSilent(contacts_, frame);
-  return next - skip;
-}
-
 void Balancer::Send(PendingPacket& pending, TimePoint now, Outbox& out) {
   auto frame = pending.frame;
   auto* const begin = frame.hops.begin();
@@ -314,18 +188,6 @@
   out.SendFrame(frame.hops[0], frame, pending.packet);
 }
 
-void Balancer::AppendRanked(ServiceTag tag, std::uint64_t hash) {
-  const auto service = services_.find(tag);
-  if (service == services_.end()) return;
-  ranking_.Build(service->second.ranked, hash);
-  for (const auto* upstream : ranking_.order()) {
-    const auto sidecar = Raw(upstream->id);
-    const bool listed = std::find(search_order_.begin(), search_order_.end(),
-                                  sidecar) != search_order_.end();
-    if (!listed) search_order_.push_back(sidecar);
-  }
-}
-
 void Balancer::OnContinuing(const Segment& segment, ByteView packet,
                             const Route& route, TimePoint now, Outbox& out) {
   const auto search = pending_.find(segment.flow);
@@ -347,9 +209,9 @@
   }
   SegmentFrame frame;
   frame.service = route.Choose(hash);
-  if (hint) Append(frame, Raw(*hint));
-  BuildSearchList(route, hash, searching ? search->second.searched : 0, now,
-                  frame);
+  if (hint) frame.hops[frame.hop_count++] = Raw(*hint);
+  members_.ListForSearch(route, hash, searching ? search->second.searched : 0,
+                         KnowsFormerServices(now), frame);
   if (frame.hop_count == 0) return;
   frame.config = routes_->version;
   frame.balancer = self_;
@@ -406,16 +268,8 @@
 
 /// @return whether no member of a route can be unknown here.
 bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
-  if (!complete_since_ || now - *complete_since_ < kNewsTime) return false;
-  const auto settled = [&](ServiceTag tag) {
-    const auto service = services_.find(tag);
-    return service == services_.end() ||
-           now - service->second.joined >= kSettledAfter;
-  };
-  return std::all_of(
-             route.targets.begin(), route.targets.end(),
-             [&](const auto& target) { return settled(target.service); }) &&
-         std::all_of(route.former.begin(), route.former.end(), settled);
+  return complete_since_ && now - *complete_since_ >= kNewsTime &&
+         members_.IsSettled(route, now);
 }
 
 void Balancer::OnUnheld(const Receipt& receipt, TimePoint now, Outbox& out) {
@@ -459,13 +313,9 @@
 bool Balancer::ResetLost(const PendingPacket& pending, TimePoint now,
                          Outbox& out) {
   const auto& segment = pending.segment;
-  const auto service = services_.find(pending.frame.service);
-  if (service == services_.end()) return false;
-  const auto& members = service->second.ranked;
-  const bool room =
-      std::any_of(members.begin(), members.end(), [&](const auto& member) {
-        return contacts_.ClaimSlot(Raw(member.id), now);
-      });
+  const bool room = members_.AnyOf(
+      pending.frame.service,
+      [&](InstanceAddress member) { return contacts_.ClaimSlot(member, now); });
   if (!room) return false;
   ++stats_.resets;
   Report("reset", "flow_unheld_by_all_members", segment.flow);
@@ -552,7 +402,7 @@
   for (const auto sidecar : contacts_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
   }
-  if (!CanServe() || ReachesSomeMember()) {
+  if (!CanServe() || members_.ReachesAny()) {
     isolated_since_.reset();
   } else if (!isolated_since_) {
     isolated_since_ = now;
