--- /dev/null
+++ b/tests/platform/process_test.cc
@@ -0,0 +1,117 @@
+// The program of the platform as processes: planned restarts, a mass kill, and
+// what it says of bad settings.
+#define BOOST_TEST_MODULE platform_process
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+#include "platform/soak/load.h"
+#include "platform/soak/promise_checks.h"
+#include "tests/platform/loop_runner.h"
+#include "tests/process/child_process.h"
+#include "tests/process/files.h"
+
+namespace cowslip::platform_adapter::test {
+namespace {
+
+using soak::Load;
+using soak::PromiseChecks;
+using standins::Site;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// A site that serves, with callers.
+struct Fixture {
+  explicit Fixture(int number) {
+    LastReason<AdapterError> reason;
+    site = Site::Start(number, checks.Events(), reason);
+    BOOST_REQUIRE_MESSAGE(site != nullptr, reason.Message());
+    checks.Attach(*site);
+    std::map<Endpoint, std::string> routes;
+    for (int i = 0; i < 3; ++i) {
+      routes[Site::RouteAddress(i)] = Site::ServiceName(i == 0 ? 0 : 1);
+    }
+    checks.OnConfigured(site->Configure(routes), routes);
+    RunFor(site->loop(), seconds(2));
+    load = std::make_unique<Load>(*site, 1);
+    load->Start();
+    RunFor(site->loop(), seconds(1));
+  }
+  ~Fixture() {
+    for (const auto& broken : checks.broken()) BOOST_ERROR(broken);
+  }
+
+  PromiseChecks checks;
+  std::unique_ptr<Site> site;
+  std::unique_ptr<Load> load;
+};
+
+struct PlannedFixture : Fixture {
+  PlannedFixture() : Fixture(21) {}
+};
+
+struct KilledFixture : Fixture {
+  KilledFixture() : Fixture(22) {}
+};
+
+/// @return the exit code of the program with these settings.
+std::optional<int> ExitCodeWith(const std::string& settings) {
+  testing::TemporaryDirectory directory;
+  const auto file = directory.File("settings.json");
+  testing::WriteFile(file, settings);
+  const auto process = testing::ChildProcess::Start(
+      {"/usr/bin/env", "COWSLIPPITCH_SETTINGS=" + file,
+       COWSLIP_PLATFORM_PROGRAM, "balancer"},
+      directory.File("log"));
+  return process->WaitForExit(seconds(2));
+}
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_CASE(ARollOfAllProcessesCutsNothing, PlannedFixture) {
+  load->ResetCounts();
+  for (auto* machines : {&site->balancers(), &site->sidecars()}) {
+    for (auto& machine : *machines) {
+      machine->Signal(SIGTERM);
+      BOOST_TEST(RunUntil(site->loop(), seconds(3),
+                          [&] { return !machine->IsRunning(); }));
+      machine->Revive();
+      RunFor(site->loop(), milliseconds(1500));
+    }
+  }
+  load->Stop();
+  RunFor(site->loop(), seconds(5));
+  // Openings to a sidecar that restarts are repeated, none is lost.
+  BOOST_TEST(load->answered() > 1000U);
+  BOOST_TEST(load->failed() == 0U);
+  BOOST_TEST(checks.resets() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AfterAMassKillAllIsServedAgain, KilledFixture) {
+  for (auto* machines : {&site->balancers(), &site->sidecars()}) {
+    for (auto& machine : *machines) machine->Signal(SIGKILL);
+  }
+  RunFor(site->loop(), milliseconds(300));
+  for (auto* machines : {&site->balancers(), &site->sidecars()}) {
+    for (auto& machine : *machines) machine->Revive();
+  }
+  RunFor(site->loop(), seconds(1));
+  const auto before = load->answered();
+  RunFor(site->loop(), seconds(1));
+  BOOST_TEST(load->answered() > before + 60);
+  // What was asked before the kill has ended by now.
+  RunFor(site->loop(), seconds(4));
+  load->ResetCounts();
+  RunFor(site->loop(), seconds(2));
+  load->Stop();
+  RunFor(site->loop(), seconds(1));
+  BOOST_TEST(load->failed() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(BadSettingsEndTheProgramWithAReason) {
+  constexpr int kBadSettings = 3;
+  BOOST_TEST((ExitCodeWith("") == kBadSettings));
+  BOOST_TEST((ExitCodeWith("{}") == kBadSettings));
+  BOOST_TEST((ExitCodeWith(R"({"ip":"nowhere"})") == kBadSettings));
+}
+
+}  // namespace cowslip::platform_adapter::test
