A receipt for a repeated packet says nothing about the next part of the list

Cause: two packets of the flow were searched for at once; the second receipt for the members of custody was counted as that of vault's, whose frame a dead sidecar had swallowed. Ruled out: a vacant or unknown member (sidecar-4 was listed and answered). Change: a receipt counts only if its sender is on the list that is being asked.

--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -42,6 +42,11 @@
 /// share of the processor.
 constexpr std::chrono::milliseconds kNewsTime{200};
 
+bool IsListed(const SegmentFrame& frame, InstanceAddress sidecar) {
+  const auto* end = frame.hops.begin() + frame.hop_count;
+  return std::find(frame.hops.begin(), end, sidecar) != end;
+}
+
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -240,9 +245,15 @@
       return;
     }
     case Verdict::kUnheld:
-    case Verdict::kUnknown:
-      OnUnheld(receipt, now, out);
+    case Verdict::kUnknown: {
+      const auto found = pending_.find(receipt.flow);
+      // A repeated packet may have taken an earlier part of the list; what is
+      // told of that says nothing about the part that is being asked.
+      const bool stray = !receipt.syn && found != pending_.end() &&
+                         !IsListed(found->second.frame, sidecar);
+      if (!stray) OnUnheld(receipt, now, out);
       return;
+    }
   }
 }
 
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -383,6 +383,33 @@
   for (int i = 3; i < 6; ++i) BOOST_TEST(world.upstream(i).foreign() == 0);
 }
 
+// Fault soak, seed 409107: the receipt for a repeated packet was counted for
+// the next part of the list, whose frame a dead member had swallowed.
+BOOST_AUTO_TEST_CASE(TwoPacketsOfAFlowAreOneSearch) {
+  World world;
+  world.AddBalancer(0);
+  AddService(world, 3);
+  for (int i = 3; i < 6; ++i) world.AddSidecar(i, "custody");
+  world.TellAllMembers();
+  for (int i = 3; i < 6; ++i) world.Report(i);
+  OpenCallers(world, 20, milliseconds(10));
+  world.Run(kAim);
+  BOOST_TEST(Count(world, CallState::kAnswered) == 20);
+  world.AddBalancer(1);
+  world.SetRoutes(2, "custody");
+  world.TellAllMembers();
+  world.Cut(World::SidecarAddress(0));
+  world.RouteTo(1);
+  world.Run(seconds(1));
+  for (auto& caller : world.callers()) {
+    caller->Ask();
+    caller->Ask();
+  }
+  world.Run(seconds(2));
+  BOOST_TEST(world.wrong_resets() == 0);
+  for (int i = 3; i < 6; ++i) BOOST_TEST(world.upstream(i).foreign() == 0);
+}
+
 /// As above, and the sidecars have started anew, too: those of a service that
 /// the route never led to don't ask their upstreams for the flow.
 BOOST_AUTO_TEST_CASE(NoUpstreamOfAnotherServiceIsAskedForAFlow) {
