--- a/packages/segment/include/cowslip/segment/flow_ledger.h
+++ b/packages/segment/include/cowslip/segment/flow_ledger.h
@@ -52,7 +52,6 @@
   /// @return the entry, new or reset to its initial state.
   FlowEntry& Start(const FlowKey& flow, FlowState state, TimePoint now);
   void Erase(const FlowKey& flow) { flows_.erase(flow); }
-  void Clear() { flows_.clear(); }
   std::size_t size() const { return flows_.size(); }
   std::uint64_t evicted() const { return evicted_; }
 
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -37,6 +38,12 @@
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
   std::array<InstanceAddress, kMaxHops> hops{};
+
+  /// @return whether a sidecar is on the list.
+  bool Lists(InstanceAddress sidecar) const {
+    const auto* end = hops.begin() + hop_count;
+    return std::find(hops.begin(), end, sidecar) != end;
+  }
 };
 
 enum class Verdict : std::uint8_t {
--- a/packages/segment/include/cowslip/segment/load_estimate.h
+++ b/packages/segment/include/cowslip/segment/load_estimate.h
@@ -55,7 +55,6 @@
   std::uint32_t in_progress() const { return in_progress_; }
   /// @return expected time from the arrival of a request to its answer.
   std::chrono::microseconds ExpectedWait(TimePoint now);
-  double utilisation() const { return utilisation_; }
 
  private:
   void Advance(TimePoint now);
--- a/packages/segment/include/cowslip/segment/segment.h
+++ b/packages/segment/include/cowslip/segment/segment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <string_view>
 
@@ -7,6 +8,10 @@
 
 namespace cowslip::segment {
 
+/// Flows are discarded when older than 60 s, so an instance that has run for
+/// longer has seen each open one start, and each route change since.
+inline constexpr std::chrono::seconds kOldestFlow{70};
+
 /// Identifies a service by a hash of its name.
 enum class ServiceTag : std::uint64_t {};
 
--- a/packages/segment/include/cowslip/segment/upstream_gate.h
+++ b/packages/segment/include/cowslip/segment/upstream_gate.h
@@ -45,7 +45,6 @@
 
   bool open() const { return state_ == GateState::kOpen; }
   GateState state() const { return state_; }
-  std::uint32_t slots() const { return report_.slots; }
   const UpstreamReport& report() const { return report_; }
   /// @return whether more than one start was seen, so that the present one
   ///     holds nothing that this sidecar has not seen.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -30,9 +30,6 @@
 constexpr std::size_t kMaxPending = 1024;
 /// Interval at which lost flows are looked at again while all slots are taken.
 constexpr std::chrono::milliseconds kRoomInterval{20};
-/// Connections older than 60 s are discarded, so a balancer that has run for
-/// longer knows all services that a living one can be at.
-constexpr std::chrono::seconds kOldestFlow{70};
 /// More members than any search visits.
 constexpr std::size_t kAllSearched = SIZE_MAX / 2;
 /// A lost flow is forgotten after this time; its caller repeats and it is
@@ -42,11 +39,6 @@
 /// share of the processor.
 constexpr std::chrono::milliseconds kNewsTime{200};
 
-bool IsListed(const SegmentFrame& frame, InstanceAddress sidecar) {
-  const auto* end = frame.hops.begin() + frame.hop_count;
-  return std::find(frame.hops.begin(), end, sidecar) != end;
-}
-
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -250,7 +242,7 @@
       // A repeated packet may have taken an earlier part of the list; what is
       // told of that says nothing about the part that is being asked.
       const bool stray = !receipt.syn && found != pending_.end() &&
-                         !IsListed(found->second.frame, sidecar);
+                         !found->second.frame.Lists(sidecar);
       if (!stray) OnUnheld(receipt, now, out);
       return;
     }
--- a/packages/segment/src/member_lists.cc
+++ b/packages/segment/src/member_lists.cc
@@ -17,13 +17,8 @@
   return upstream;
 }
 
-bool Contains(const SegmentFrame& frame, InstanceAddress hop) {
-  const auto* end = frame.hops.begin() + frame.hop_count;
-  return std::find(frame.hops.begin(), end, hop) != end;
-}
-
 void Append(SegmentFrame& frame, InstanceAddress hop) {
-  if (frame.hop_count < kMaxHops && !Contains(frame, hop)) {
+  if (frame.hop_count < kMaxHops && !frame.Lists(hop)) {
     frame.hops[frame.hop_count++] = hop;
   }
 }
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -15,9 +15,6 @@
 constexpr std::uint32_t kOpeningWindow = 1U << 20;
 /// Upstreams that one packet may be given to in search of its holder.
 constexpr std::uint8_t kMaxAsked = 2;
-/// Flows are discarded when older than 60 s, so a sidecar that has run for
-/// longer has seen each open one start.
-constexpr std::chrono::seconds kOldestFlow{70};
 /// A balancer that is behind for longer gets no new connection placed; shorter
 /// than the time within which a configuration has to be in force.
 constexpr std::chrono::milliseconds kStaleAfter{1500};
