Balancers: resend within a budget and after measured round trips

Cause: a balancer sent each of up to 1,024 pending packets again every 40 ms for up to 1.2 s. After a suspension it also placed the backlog of its socket. On a link of 10 Mbit/s the resends delayed the acknowledgements beyond the fixed timeout, and so caused more resends, long after the failure had ended.

Change: RoundTripEstimator (RFC 6298) gives the timeout, doubled for each resend of a packet. A copy of a SYN ends when its caller sends the next one. SYNs that waited through a suspension are dropped, in balancers and sidecars; packets of open flows are delivered, as their callers may send them again only a second later.

Test: retry_test, links of 2 to 20 Mbit/s, 1 to 16 s of suspension, half of the sidecars silent, loss up to 30 %, 6 to 91 balancers.

--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -15,6 +15,8 @@
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/pending_packet.h"
+#include "cowslip/segment/retry_budget.h"
+#include "cowslip/segment/round_trip_estimator.h"
 #include "cowslip/segment/route_table.h"
 #include "cowslip/segment/sidecar_state_table.h"
 
@@ -60,6 +62,14 @@
   /// Resends packets that no sidecar has acknowledged. Call every few
   /// milliseconds.
   void OnTick(TimePoint now, Outbox& out);
+  /// The process was suspended. Drops the packets that it had not placed: their
+  /// callers have sent them again or have given up.
+  void OnResume();
+  /// Handles a packet that waited in the socket through a suspension. Drops
+  /// SYNs for the same reason. Packets of open flows are forwarded, as their
+  /// callers may send them again only a second later.
+  void OnBacklogPacket(const Segment& segment, ByteView packet, TimePoint now,
+                       Outbox& out);
 
   const RouteTable& routes() const { return *routes_; }
   const BalancerStats& stats() const { return stats_; }
@@ -93,6 +103,13 @@
   /// lookup.
   /// @return whether the packet stays pending.
   bool ContinueLookup(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// Counts a missing acknowledgement against the sidecar that owes it.
+  void NoteTimeout(PendingPacket& pending, TimePoint now);
+  /// Measures the round trip of a packet's first transmission.
+  void MeasureRoundTrip(InstanceAddress sidecar, const Ack& ack, TimePoint now);
+  /// @return whether the retry budget allows to send the packet again now;
+  /// otherwise its next attempt is later.
+  bool MayResend(PendingPacket& pending, TimePoint now);
   bool RetrySyn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
   bool KnowsFormerServices(TimePoint now) const;
@@ -112,6 +129,8 @@
   CandidateSelector members_;
   flow::HintCache hints_;
   PendingPackets pending_;
+  RoundTripEstimator round_trips_;
+  RetryBudget retry_budget_;
   BalancerStats stats_;
 };
 
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -15,6 +15,10 @@
   std::uint64_t no_configuration = 0;
   std::uint64_t no_member = 0;  ///< Packets to a service without members.
   std::uint64_t resent = 0;     ///< Packets sent again, not accepted so far.
+  /// Resends that had to wait because the retry budget was used up.
+  std::uint64_t deferred = 0;
+  /// Packets dropped because they had waited through a suspension.
+  std::uint64_t outdated = 0;
   /// SYNs and lookups that timed out.
   std::uint64_t given_up = 0;
   std::uint64_t resets = 0;  ///< Resets sent to callers.
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -19,6 +19,16 @@
   std::uint8_t next_hop = 0;
   /// Sidecar whose acknowledgement is due, 0 if none.
   InstanceAddress awaiting_ack_from = 0;
+  /// The missing acknowledgement counts against the sidecar already.
+  bool timeout_noted = false;
+  /// Sidecar that the packet was first sent to, for the measurement of the
+  /// round trip; 0 once measured or sent there twice.
+  InstanceAddress timed_sidecar = 0;
+  TimePoint timed_since{};  ///< When it was sent there.
+  /// Transmissions after the first one without any response in between.
+  int resends = 0;
+  /// Whether the packet has been sent at all.
+  bool sent = false;
   /// Ranked members before the current candidates, all queried.
   std::size_t candidates_queried = 0;
   /// Ranked members that the current candidates cover, including unresponsive
@@ -31,7 +41,7 @@
   /// No member owns the flow; it is reset as soon as an upstream has a free
   /// slot for the caller's next attempt.
   bool lost = false;
-  /// A resend was logged; later ones, every 40 ms, are not.
+  /// A resend was logged; later ones of the packet are not.
   bool resend_logged = false;
   TimePoint next_attempt{};  ///< When to send the packet again.
   TimePoint arrival{};       ///< When the packet arrived.
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -45,6 +45,13 @@
   /// Forwards SYNs that the upstream has not answered in time. Call every few
   /// milliseconds.
   void OnTick(TimePoint now, Outbox& out);
+  /// The process was suspended. Drops the SYNs that wait for an answer of the
+  /// upstream: it may have answered, and their callers have given up.
+  void OnResume(TimePoint now);
+  /// Handles a frame that waited in the socket through a suspension; drops it
+  /// if it carries a SYN, which its caller has sent again or given up.
+  void OnBacklogFrame(const SegmentFrame& frame, const Segment& segment,
+                      ByteView packet, TimePoint now, Outbox& out);
 
   /// Handles a status report of the upstream.
   ReportResult OnReport(const UpstreamReport& report, TimePoint now);
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "cowslip/base.h"
@@ -22,6 +23,9 @@
   /// Interval of probes to an unresponsive sidecar. A restart takes at least
   /// half a second.
   static constexpr std::chrono::milliseconds kProbeInterval{200};
+  /// Probes at one time. More unresponsive sidecars are probed in turn, so that
+  /// probes don't grow with their number.
+  static constexpr std::size_t kMaxProbes = 4;
   /// Age at which a reported expected wait is discarded as outdated.
   static constexpr std::chrono::milliseconds kExpectedWaitLifetime{1500};
   /// Age at which a reported number of free slots is discarded as outdated.
@@ -44,7 +48,8 @@
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
-  /// @return the unresponsive sidecars to probe now.
+  /// @return the unresponsive sidecars to probe now, those that have waited
+  /// longest, at most kMaxProbes.
   const std::vector<InstanceAddress>& TakeDueProbes(TimePoint now);
 
  private:
@@ -60,6 +65,7 @@
   };
 
   std::unordered_map<InstanceAddress, Contact> contacts_;
+  std::vector<std::pair<TimePoint, InstanceAddress>> due_;
   std::vector<InstanceAddress> due_probes_;
 };
 
--- a/packages/segment/include/cowslip/segment/sidecar_stats.h
+++ b/packages/segment/include/cowslip/segment/sidecar_stats.h
@@ -18,6 +18,8 @@
   std::uint64_t asked = 0;   ///< Packets of unknown flows sent to the upstream.
   std::uint64_t resets = 0;  ///< Resets sent to callers of lost flows.
   std::uint64_t to_callers = 0;  ///< Packets sent from the upstream to callers.
+  /// SYNs dropped because they had waited through a suspension.
+  std::uint64_t outdated = 0;
   std::uint64_t stale_balancer = 0;  ///< SYNs with an outdated configuration.
   /// From sending a request to the upstream until the first data of its
   /// response.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -1,25 +1,27 @@
 #include "cowslip/segment/balancer.h"
 
 #include <algorithm>
+#include <array>
 #include <stdexcept>
 
 namespace cowslip::segment {
 namespace {
 
-/// Time until a packet counts as unacknowledged. Acks take 2 to 3 ms between
-/// data centres. A sidecar that has used up its CPU quota takes up to 100 ms;
-/// two sidecars then receive the packet.
-constexpr std::chrono::milliseconds kAckTimeout{40};
-/// Interval at which a SYN is sent again while no member accepts it.
+/// First interval at which a SYN is sent again while no member accepts it.
 constexpr std::chrono::milliseconds kSynRetryInterval{40};
+/// Interval at which a packet that the retry budget holds back is checked.
+constexpr std::chrono::milliseconds kDeferralInterval{40};
 /// Time after the start in which members of a service may still be unknown: the
 /// store responds within milliseconds, or later if it is down at first.
 constexpr std::chrono::milliseconds kStartupWindow{2500};
 /// Delay of the second lookup of a flow without an owner. Membership updates
 /// take a few milliseconds.
 constexpr std::chrono::milliseconds kConfirmDelay{25};
-/// Callers give up an attempt 1.4 s after its first packet.
-constexpr std::chrono::milliseconds kSynLifetime{1200};
+/// Time until a copy of a SYN is dropped: the caller sends the next copy then,
+/// or gives up the attempt, 1.4 s after its first packet.
+constexpr std::array<std::chrono::milliseconds, 3> kSynLifetimes{
+    std::chrono::milliseconds(200), std::chrono::milliseconds(400),
+    std::chrono::milliseconds(600)};
 /// A lookup visits 12 members in about 20 ms. With 60 members, one of them
 /// unresponsive, it ends within this time.
 constexpr std::chrono::milliseconds kLookupLifetime{600};
@@ -42,6 +44,11 @@
 /// an instance that has used up its CPU quota.
 constexpr std::chrono::milliseconds kUpdatePropagationTime{200};
 
+/// @param copy number of the SYN's copy, 0 for the first one.
+std::chrono::milliseconds SynLifetime(std::uint32_t copy) {
+  return kSynLifetimes[std::min<std::size_t>(copy, kSynLifetimes.size() - 1)];
+}
+
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -186,10 +193,20 @@
   frame.config = routes_->version;
   frame.balancer = self_;
   frame.searched = true;
-  pending.awaiting_ack_from = frame.hops[0];
-  pending.next_attempt = now + kAckTimeout;
+  const auto first_hop = frame.hops[0];
+  if (!pending.sent) {
+    pending.timed_sidecar = first_hop;
+    pending.timed_since = now;
+    retry_budget_.OnFirstTransmission();
+  } else if (pending.timed_sidecar == first_hop) {
+    pending.timed_sidecar = 0;
+  }
+  pending.sent = true;
+  pending.awaiting_ack_from = first_hop;
+  pending.timeout_noted = false;
+  pending.next_attempt = now + round_trips_.Timeout(pending.resends);
   ++pending.next_hop;
-  out.SendFrame(frame.hops[0], frame, pending.packet);
+  out.SendFrame(first_hop, frame, pending.packet);
 }
 
 void Balancer::HandleExistingFlow(const Segment& segment, ByteView packet,
@@ -230,6 +247,7 @@
     LogDecision("member_answers", "receipt", ack.flow, sidecar);
   }
   sidecar_states_.OnAck(sidecar, ack, now);
+  MeasureRoundTrip(sidecar, ack, now);
   switch (ack.verdict) {
     case AckStatus::kProbeReply:
       return;
@@ -258,6 +276,21 @@
   }
 }
 
+void Balancer::MeasureRoundTrip(InstanceAddress sidecar, const Ack& ack,
+                                TimePoint now) {
+  const auto found = pending_.find(ack.flow);
+  if (found == pending_.end()) return;
+  auto& pending = found->second;
+  // An acknowledgement of another copy of the packet says nothing about this
+  // one.
+  if (pending.timed_sidecar != sidecar ||
+      pending.segment.ack != ack.caller_ack) {
+    return;
+  }
+  round_trips_.OnSample(now - pending.timed_since);
+  pending.timed_sidecar = 0;
+}
+
 void Balancer::OnForwarded(InstanceAddress sidecar, const Ack& ack,
                            TimePoint now) {
   const auto found = pending_.find(ack.flow);
@@ -269,7 +302,8 @@
   auto& pending = found->second;
   if (pending.awaiting_ack_from != sidecar) return;
   pending.awaiting_ack_from = ack.next;
-  pending.next_attempt = now + kAckTimeout;
+  pending.timeout_noted = false;
+  pending.next_attempt = now + round_trips_.Timeout(pending.resends);
   // A resend starts after the sidecar that has the packet now.
   const auto& frame = pending.frame;
   const auto* end = frame.hops.begin() + frame.hop_count;
@@ -290,8 +324,11 @@
   if (ack.syn) {
     // Every member forwarded the SYN; OnTick() sends it again.
     if (found == pending_.end()) return;
-    found->second.awaiting_ack_from = 0;
-    found->second.next_attempt = now + kSynRetryInterval;
+    auto& syn = found->second;
+    syn.awaiting_ack_from = 0;
+    const int doublings =
+        std::min(syn.resends, RoundTripEstimator::kMaxBackoff);
+    syn.next_attempt = now + kSynRetryInterval * (1 << doublings);
     return;
   }
   ++stats_.unheld;
@@ -299,6 +336,7 @@
   if (found == pending_.end() || found->second.lost) return;
   auto& pending = found->second;
   if (ack.verdict == AckStatus::kInconclusive) pending.lookup_uncertain = true;
+  pending.resends = 0;
   if (!ContinueLookup(pending, now, out)) pending_.erase(found);
 }
 
@@ -338,17 +376,39 @@
   return true;
 }
 
+void Balancer::NoteTimeout(PendingPacket& pending, TimePoint now) {
+  if (pending.awaiting_ack_from == 0 || pending.timeout_noted) return;
+  pending.timeout_noted = true;
+  sidecar_states_.OnTimeout(pending.awaiting_ack_from, now);
+  if (!pending.resend_logged) {
+    LogDecision("resend", "no_receipt", pending.segment.flow,
+                pending.awaiting_ack_from, pending.next_hop);
+  }
+  pending.resend_logged = true;
+}
+
+bool Balancer::MayResend(PendingPacket& pending, TimePoint now) {
+  if (!pending.sent) return true;
+  if (!retry_budget_.TryTake(now)) {
+    ++stats_.deferred;
+    pending.next_attempt = now + kDeferralInterval;
+    return false;
+  }
+  ++stats_.resent;
+  ++pending.resends;
+  return true;
+}
+
 /// Sends a SYN that was not accepted to the next sidecar, or to all of them in
 /// an order that depends on their load.
 bool Balancer::RetrySyn(PendingPacket& pending, TimePoint now, Outbox& out) {
-  if (now - pending.arrival > kSynLifetime) {
+  if (now - pending.arrival > SynLifetime(pending.segment.ack)) {
     ++stats_.given_up;
     LogDecision("give_up", "no_member_took_it", pending.segment.flow);
     return false;
   }
   if (BuildCandidates(pending, now)) {
-    ++stats_.resent;
-    SendToCandidates(pending, now, out);
+    if (MayResend(pending, now)) SendToCandidates(pending, now, out);
     return true;
   }
   if (!MayLackMembers(pending.segment, now)) {
@@ -366,7 +426,7 @@
     ++stats_.given_up;
     return false;
   }
-  ++stats_.resent;
+  if (!MayResend(pending, now)) return true;
   const bool is_confirmation =
       pending.not_found_once && pending.awaiting_ack_from == 0;
   if (is_confirmation) {
@@ -392,15 +452,7 @@
       ++entry;
       continue;
     }
-    const auto& flow = pending.segment.flow;
-    if (pending.awaiting_ack_from != 0) {
-      sidecar_states_.OnTimeout(pending.awaiting_ack_from, now);
-      if (!pending.resend_logged) {
-        LogDecision("resend", "no_receipt", flow, pending.awaiting_ack_from,
-                    pending.next_hop);
-      }
-      pending.resend_logged = true;
-    }
+    NoteTimeout(pending, now);
     if (pending.lost) {
       const bool expired = now - pending.arrival > kLostFlowLifetime;
       pending.next_attempt = now + kFreeSlotCheckInterval;
@@ -426,6 +478,21 @@
   }
 }
 
+void Balancer::OnResume() {
+  stats_.outdated += pending_.size();
+  pending_.clear();
+  isolated_since_.reset();
+}
+
+void Balancer::OnBacklogPacket(const Segment& segment, ByteView packet,
+                               TimePoint now, Outbox& out) {
+  if (segment.is_syn()) {
+    ++stats_.outdated;
+    return;
+  }
+  OnPacket(segment, packet, now, out);
+}
+
 void Balancer::LogDecision(std::string_view action, std::string_view reason,
                            const FlowKey& flow, InstanceAddress instance,
                            std::uint32_t place, std::uint32_t wait_us) {
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -374,6 +374,24 @@
       now, [&](const FlowKey&, FlowEntry& entry) { ReleaseLoad(entry, now); });
 }
 
+void Sidecar::OnResume(TimePoint now) {
+  stats_.outdated += pending_syns_.size();
+  for (const auto& syn : pending_syns_) {
+    auto* entry = flows_.Find(syn.flow);
+    if (entry != nullptr && !entry->syn_acked) ReleaseLoad(*entry, now);
+  }
+  pending_syns_.clear();
+}
+
+void Sidecar::OnBacklogFrame(const SegmentFrame& frame, const Segment& segment,
+                             ByteView packet, TimePoint now, Outbox& out) {
+  if (segment.is_syn()) {
+    ++stats_.outdated;
+    return;
+  }
+  OnFrame(frame, segment, packet, now, out);
+}
+
 ReportResult Sidecar::OnReport(const UpstreamReport& report, TimePoint now) {
   const auto result = upstream_state_.OnReport(report, now);
   if (result == ReportResult::kOutdated) return result;
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -1,5 +1,7 @@
 #include "cowslip/segment/sidecar_state_table.h"
 
+#include <algorithm>
+
 namespace cowslip::segment {
 
 void SidecarStateTable::OnAck(InstanceAddress sidecar, const Ack& ack,
@@ -56,12 +58,20 @@
 
 const std::vector<InstanceAddress>& SidecarStateTable::TakeDueProbes(
     TimePoint now) {
+  due_.clear();
   due_probes_.clear();
-  for (auto& [sidecar, contact] : contacts_) {
+  for (const auto& [sidecar, contact] : contacts_) {
     if (contact.misses < kMaxMisses) continue;
     if (now - contact.last_probe < kProbeInterval) continue;
-    contact.last_probe = now;
-    due_probes_.push_back(sidecar);
+    due_.emplace_back(contact.last_probe, sidecar);
+  }
+  const auto count = std::min(due_.size(), kMaxProbes);
+  std::partial_sort(due_.begin(),
+                    due_.begin() + static_cast<std::ptrdiff_t>(count),
+                    due_.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    contacts_[due_[i].second].last_probe = now;
+    due_probes_.push_back(due_[i].second);
   }
   return due_probes_;
 }
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -12,6 +12,10 @@
 constexpr microseconds kCallerLatency{1000};
 constexpr microseconds kLocalLatency{50};
 constexpr milliseconds kTickInterval{20};
+/// Longest time that a datagram waits for a link before it is dropped.
+constexpr std::chrono::seconds kMaxLinkQueue{2};
+/// Datagrams that a socket keeps for a suspended process.
+constexpr std::size_t kSocketBuffer = 1000;
 constexpr Endpoint kServiceAddress{0xC6120001, 443};
 
 /// Encodes a segment as a packet: its object representation.
@@ -138,11 +142,10 @@
   output.send = [this](const Segment& segment) {
     if (IsLost()) return;
     After(kCallerLatency, [this, segment] {
-      const auto self = BalancerAddress(entry_balancer_);
-      if (isolated_.contains(self)) return;
-      Outbox out;
-      balancer(entry_balancer_).OnPacket(segment, ToPacket(segment), now_, out);
-      ExecuteEffects(self, out);
+      const bool any = entry_balancer_ == kAnyBalancer;
+      const auto count = balancers_.size();
+      const auto index = any ? HashFlow(segment.flow) % count : entry_balancer_;
+      SendToBalancer(static_cast<int>(index), segment);
     });
   };
   output.after = [this](milliseconds delay, std::function<void()> run) {
@@ -154,18 +157,66 @@
   return *callers_.back();
 }
 
+void Simulation::SendToBalancer(int index, const Segment& segment) {
+  const auto self = BalancerAddress(index);
+  if (isolated_.contains(self)) return;
+  const auto delay = Enqueue(self, &Link::in, sizeof segment);
+  if (!delay) return;
+  After(*delay, [this, index, self, segment] {
+    const auto packet = ToPacket(segment);
+    const auto suspended = suspended_.find(index);
+    if (suspended == suspended_.end()) {
+      Outbox out;
+      balancer(index).OnPacket(segment, packet, now_, out);
+      ExecuteEffects(self, out);
+    } else if (suspended->second.size() < kSocketBuffer) {
+      suspended->second.emplace_back([=, this] {
+        Outbox out;
+        balancer(index).OnBacklogPacket(segment, packet, now_, out);
+        ExecuteEffects(self, out);
+      });
+    }
+  });
+}
+
+void Simulation::Resume(int index) {
+  const auto backlog = std::move(suspended_.at(index));
+  suspended_.erase(index);
+  balancer(index).OnResume();
+  for (const auto& handle : backlog) handle();
+}
+
+std::optional<microseconds> Simulation::Enqueue(InstanceAddress instance,
+                                                LinkQueue Link::*direction,
+                                                std::size_t bytes) {
+  const auto found = links_.find(instance);
+  if (found == links_.end()) return microseconds{0};
+  auto& queue = found->second.*direction;
+  queue.free_at = std::max(queue.free_at, now_);
+  if (queue.free_at - now_ > kMaxLinkQueue) return std::nullopt;
+  const double seconds =
+      static_cast<double>(bytes) / found->second.bytes_per_second;
+  queue.free_at += std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(seconds));
+  return std::chrono::duration_cast<microseconds>(queue.free_at - now_);
+}
+
 void Simulation::ExecuteEffects(InstanceAddress from, Outbox& out) {
   for (const auto& effect : out.effects()) {
     const auto datagram = out.Datagram(effect);
     switch (effect.kind) {
-      case EffectKind::kSendToInstance:
-        if (IsLost()) break;
-        After(kInstanceLatency,
+      case EffectKind::kSendToInstance: {
+        const auto sent = Enqueue(from, &Link::out, effect.size);
+        if (!sent || IsLost()) break;
+        After(*sent + kInstanceLatency,
               [this, from, to = effect.instance,
                bytes = Bytes(datagram.begin(), datagram.end())] {
-                Deliver(from, to, bytes);
+                const auto received = Enqueue(to, &Link::in, bytes.size());
+                if (!received) return;
+                After(*received, [=, this] { Deliver(from, to, bytes); });
               });
         break;
+      }
       case EffectKind::kSendToUpstream:
         After(kLocalLatency, [this, from, token = effect.token,
                               segment = FromPacket(datagram)] {
@@ -195,6 +246,15 @@
 void Simulation::Deliver(InstanceAddress from, InstanceAddress to,
                          const Bytes& datagram) {
   if (isolated_.contains(to) || isolated_.contains(from)) return;
+  const auto suspended =
+      suspended_.find(static_cast<int>(to - BalancerAddress(0)));
+  if (to < SidecarAddress(0) && suspended != suspended_.end()) {
+    if (suspended->second.size() < kSocketBuffer) {
+      suspended->second.emplace_back(
+          [=, this] { Deliver(from, to, datagram); });
+    }
+    return;
+  }
   Outbox out;
   const auto kind = KindOf(datagram);
   if (to < SidecarAddress(0)) {
@@ -232,6 +292,7 @@
 
 void Simulation::Tick() {
   for (auto& [index, balancer] : balancers_) {
+    if (suspended_.contains(index)) continue;
     Outbox out;
     balancer->OnTick(now_, out);
     ExecuteEffects(BalancerAddress(index), out);
@@ -248,7 +309,7 @@
   After(kTickInterval, [this] { Tick(); });
 }
 
-void Simulation::Run(milliseconds time) {
+void Simulation::Run(microseconds time) {
   if (!ticking_) {
     ticking_ = true;
     Tick();
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -2,9 +2,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -46,10 +48,20 @@
   void Heal(InstanceAddress instance) { isolated_.erase(instance); }
   /// Sends the packets of callers to this balancer from now on.
   void RouteCallersTo(int balancer) { entry_balancer_ = balancer; }
+  /// Spreads the flows of callers over all balancers from now on.
+  void SpreadCallers() { entry_balancer_ = kAnyBalancer; }
+  /// Limits what an instance sends and receives, in bytes per second each.
+  void LimitLink(InstanceAddress instance, double bytes_per_second) {
+    links_[instance].bytes_per_second = bytes_per_second;
+  }
+  /// Stops a balancer's process; its socket keeps what arrives, up to a limit.
+  void Suspend(int balancer) { suspended_[balancer]; }
+  /// Continues it: the process handles what its socket kept.
+  void Resume(int balancer);
   void SetLoss(double share) { loss_ = share; }
 
   FakeCaller& AddCaller();
-  void Run(std::chrono::milliseconds time);
+  void Run(std::chrono::microseconds time);
 
   Balancer& balancer(int index) { return *balancers_.at(index); }
   Sidecar& sidecar(int index) { return *sidecars_.at(index)->sidecar; }
@@ -81,6 +93,16 @@
       return std::tie(time, order) > std::tie(other.time, other.order);
     }
   };
+  /// One direction of an instance's link: datagrams leave one after the other.
+  struct LinkQueue {
+    TimePoint free_at{};
+  };
+  /// The link of an instance.
+  struct Link {
+    double bytes_per_second = 0;
+    LinkQueue in;
+    LinkQueue out;
+  };
   class NullObserver final : public Observer {
     void OnDecision(const FlowDecision&) override {}
   };
@@ -90,6 +112,11 @@
   void ExecuteEffects(InstanceAddress from, Outbox& out);
   void Deliver(InstanceAddress from, InstanceAddress to, const Bytes& datagram);
   void SendToCaller(const Segment& segment);
+  void SendToBalancer(int balancer, const Segment& segment);
+  /// @return the delay of a datagram in a queue, std::nullopt if it is full.
+  std::optional<std::chrono::microseconds> Enqueue(InstanceAddress instance,
+                                                   LinkQueue Link::*direction,
+                                                   std::size_t bytes);
   bool IsLost();
 
   std::mt19937_64 random_;
@@ -102,7 +129,11 @@
   std::vector<std::unique_ptr<FakeCaller>> callers_;
   std::map<FlowKey, FakeCaller*> caller_by_flow_;
   std::set<InstanceAddress> isolated_;
+  static constexpr int kAnyBalancer = -1;
   int entry_balancer_ = 0;
+  std::map<InstanceAddress, Link> links_;
+  /// Datagrams in the sockets of suspended balancers.
+  std::map<int, std::deque<std::function<void()>>> suspended_;
   double loss_ = 0;
   int wrong_resets_ = 0;
   bool ticking_ = false;
