Sidecars admit a connection by the wait it would have

Cause: a sidecar queued up to four requests beside its upstream's slots whatever the route's latency target, and a SYN that nobody took went round again each 40 ms. When a crowd met slow servers, half of all answers were late and almost nothing was refused. The service time was learned from requests that found a free slot only, so an upstream that became slow under full load seemed fast.

A sidecar with a free slot takes the SYN if its answer is expected in time; a full one is a candidate if the answer after the queue is in time. A free slot that is too slow is the last resort. If all visited sidecars would be too late, the balancer resets the first copy of the SYN at once: nothing ran, and the caller's next attempt finds other sidecars. Later copies and SYNs that were sent more than once are not reset, since another transmission may have been accepted. The service time of a queued request counts from the departure that freed its slot. The new fields of frames and acknowledgements are in padding that earlier builds write as 0 and ignore.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -4,6 +4,7 @@
 /// upstreams, and forwarding of their packets. The packets are TCP-like
 /// segments that travel in UDP datagrams.
 
+#include "cowslip/segment/admission.h"                // IWYU pragma: export
 #include "cowslip/segment/balancer.h"                 // IWYU pragma: export
 #include "cowslip/segment/balancer_stats.h"           // IWYU pragma: export
 #include "cowslip/segment/candidate_selector.h"       // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -22,6 +22,8 @@
   /// SYNs and lookups that timed out.
   std::uint64_t given_up = 0;
   std::uint64_t resets = 0;  ///< Resets sent to callers.
+  /// SYNs refused because no upstream could answer in time.
+  std::uint64_t overloaded = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "cowslip/base.h"
+#include "cowslip/segment/load_estimator.h"
 #include "cowslip/segment/segment.h"
 
 namespace cowslip::segment {
@@ -24,16 +25,14 @@
   /// The first request has not arrived yet.
   bool awaiting_first_request = false;
   bool request_in_progress = false;  ///< Sent, not answered yet.
-  /// All slots were taken when the request arrived.
-  bool request_queued = false;
-  bool caller_fin = false;    ///< The caller has sent a FIN.
-  bool upstream_fin = false;  ///< The upstream has sent a FIN.
+  bool caller_fin = false;           ///< The caller has sent a FIN.
+  bool upstream_fin = false;         ///< The upstream has sent a FIN.
   /// Sequence number of the upstream's SYN-ACK.
   std::uint32_t upstream_seq = 0;
   /// Sequence number after the caller's data so far.
   std::uint32_t caller_next_seq = 0;
   bool caller_next_seq_valid = false;  ///< caller_next_seq is valid.
-  TimePoint request_start{};           ///< Start of the request in progress.
+  RequestStart request;                ///< The request in progress.
   TimePoint last_activity{};           ///< Last packet of the flow.
 };
 
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -41,6 +42,11 @@
   /// A sidecar gives the packet to its upstream only if its flow table holds
   /// the flow.
   bool other_service = false;
+  /// A visited upstream accepts connections but would answer too late.
+  bool overloaded = false;
+  /// Time left until the latency target of the request that follows a SYN;
+  /// std::nullopt if the route has none.
+  std::optional<std::chrono::milliseconds> time_left;
   /// Least expected wait among the visited sidecars, and the index of that hop.
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
@@ -73,6 +79,9 @@
   std::uint64_t config = 0;
   std::uint32_t expected_wait_us = 0;
   std::uint16_t free_slots = 0;  ///< Of the sender's upstream.
+  /// The SYN ran nowhere: all visited upstreams that accept connections would
+  /// answer too late.
+  bool overloaded = false;
   FlowKey flow;
   /// Acknowledgement number of the caller's packet.
   std::uint32_t caller_ack = 0;
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -21,6 +23,9 @@
   /// Services of earlier versions of the route, which keep its open
   /// connections.
   std::vector<ServiceTag> former_services;
+  /// Target for the time from a caller's first packet to the answer;
+  /// std::nullopt if there is none.
+  std::optional<std::chrono::milliseconds> latency_target;
 
   /// @return the service of a new connection, by weight and flow hash.
   ServiceTag ChooseService(std::uint64_t flow_hash) const;
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -5,6 +5,7 @@
 #include <deque>
 
 #include "cowslip/base.h"
+#include "cowslip/segment/admission.h"
 #include "cowslip/segment/flow_state_table.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/frame_ring.h"
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -9,6 +9,9 @@
 
 /// First interval at which a SYN is sent again while no member accepts it.
 constexpr std::chrono::milliseconds kSynRetryInterval{40};
+/// Part of the latency target, in percent, within which the upstream has to
+/// answer; the rest is for the round trips of the handshake and of the request.
+constexpr int kAnswerPercent = 90;
 /// Interval at which a packet that the retry budget holds back is checked.
 constexpr std::chrono::milliseconds kDeferralInterval{40};
 /// Time after the start in which members of a service may still be unknown: the
@@ -49,6 +52,13 @@
   return kSynLifetimes[std::min<std::size_t>(copy, kSynLifetimes.size() - 1)];
 }
 
+/// @return time since the caller's first packet when it sends this copy.
+std::chrono::milliseconds SynAge(std::uint32_t copy) {
+  std::chrono::milliseconds age{0};
+  for (std::uint32_t i = 0; i < copy; ++i) age += SynLifetime(i);
+  return age;
+}
+
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -178,6 +188,16 @@
   return frame.hop_count > 0;
 }
 
+std::optional<std::chrono::milliseconds> Balancer::TimeLeft(
+    const PendingPacket& pending, TimePoint now) const {
+  const auto* route = routes_->Find(pending.segment.flow.service);
+  if (route == nullptr || !route->latency_target) return std::nullopt;
+  const Duration passed = now - pending.arrival + SynAge(pending.segment.ack);
+  const Duration left = *route->latency_target * kAnswerPercent / 100 - passed;
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(left, Duration::zero()));
+}
+
 void Balancer::SendToCandidates(PendingPacket& pending, TimePoint now,
                                 Outbox& out) {
   auto frame = pending.frame;
@@ -193,6 +213,7 @@
   frame.config = routes_->version;
   frame.balancer = self_;
   frame.searched = true;
+  if (pending.segment.is_syn()) frame.time_left = TimeLeft(pending, now);
   const auto first_hop = frame.hops[0];
   if (!pending.sent) {
     pending.timed_sidecar = first_hop;
@@ -319,12 +340,26 @@
          members_.IsStable(route, now);
 }
 
+/// @return whether no other transmission of the SYN may still reach an
+/// upstream, so that a reset truly means that nothing ran.
+bool Balancer::IsOnlyTransmission(const PendingPacket& syn) {
+  return syn.segment.ack == 0 && syn.resends == 0;
+}
+
 void Balancer::OnNotFound(const Ack& ack, TimePoint now, Outbox& out) {
   const auto found = pending_.find(ack.flow);
   if (ack.syn) {
     // Every member forwarded the SYN; OnTick() sends it again.
     if (found == pending_.end()) return;
     auto& syn = found->second;
+    if (ack.overloaded && IsOnlyTransmission(syn)) {
+      ++stats_.overloaded;
+      ++stats_.resets;
+      LogDecision("refuse", "no_answer_in_time", ack.flow);
+      out.SendReset(ack.flow, 0);
+      pending_.erase(found);
+      return;
+    }
     syn.awaiting_ack_from = 0;
     const int doublings =
         std::min(syn.resends, RoundTripEstimator::kMaxBackoff);
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -1,5 +1,6 @@
 #include "cowslip/segment/frame.h"
 
+#include <algorithm>
 #include <cstring>
 
 #include "frame_generated.h"
@@ -25,6 +26,14 @@
   return value;
 }
 
+/// @return the field of a frame: 0 stands for no latency target.
+std::uint16_t EncodeTimeLeft(
+    std::optional<std::chrono::milliseconds> time_left) {
+  if (!time_left) return 0;
+  return static_cast<std::uint16_t>(
+      std::clamp<std::int64_t>(time_left->count(), 1, UINT16_MAX));
+}
+
 }  // namespace
 
 std::optional<FrameKind> KindOf(ByteView datagram) {
@@ -62,6 +71,10 @@
   frame.inconclusive = raw->inconclusive() != 0;
   frame.searched = raw->searched() != 0;
   frame.other_service = raw->other_service() != 0;
+  frame.overloaded = raw->overloaded() != 0;
+  if (raw->time_left_ms() != 0) {
+    frame.time_left = std::chrono::milliseconds(raw->time_left_ms());
+  }
   frame.best_wait_us = raw->best_wait();
   frame.best_place = raw->best_place();
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
@@ -90,6 +103,7 @@
   ack.caller_ack = raw->caller_ack();
   ack.next = raw->next();
   ack.free_slots = raw->free_slots();
+  ack.overloaded = raw->overloaded() != 0;
   return ack;
 }
 
@@ -101,7 +115,8 @@
                 static_cast<std::uint64_t>(frame.service), frame.balancer,
                 frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
                 frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0,
-                frame.other_service ? 1 : 0),
+                frame.other_service ? 1 : 0, frame.overloaded ? 1 : 0,
+                EncodeTimeLeft(frame.time_left)),
             out);
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
     AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
@@ -116,7 +131,7 @@
                     ack.open ? 1 : 0, ack.config, ack.expected_wait_us,
                     ack.flow.caller.address, ack.flow.service.address,
                     ack.flow.caller.port, ack.flow.service.port, ack.caller_ack,
-                    ack.next, ack.free_slots),
+                    ack.next, ack.free_slots, ack.overloaded ? 1 : 0),
       out);
 }
 
--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -25,21 +25,39 @@
   utilisation_ = utilisation_ * decay + busy_share * (1 - decay);
 }
 
-void LoadEstimator::OnStarted(TimePoint now) {
+RequestStart LoadEstimator::OnStarted(TimePoint now) {
   UpdateUtilisation(now);
+  RequestStart request{.arrival = now};
+  if (in_progress_ >= slots_) {
+    request.waits_for_departure = departures_ + in_progress_ - slots_ + 1;
+  }
   ++in_progress_;
+  return request;
 }
 
-void LoadEstimator::OnResponse(Duration elapsed, bool queued, TimePoint now) {
+std::optional<TimePoint> LoadEstimator::ServiceStart(
+    const RequestStart& request) const {
+  const auto number = request.waits_for_departure;
+  if (number == 0) return request.arrival;
+  const bool known =
+      number <= departures_ && departures_ - number < kDepartureHistory;
+  if (!known) return std::nullopt;
+  return departure_times_[number % kDepartureHistory];
+}
+
+void LoadEstimator::OnResponse(const RequestStart& request, TimePoint now) {
+  const auto start = ServiceStart(request);
   OnRequestAborted(now);
-  if (queued) return;
-  const double sample = std::chrono::duration<double>(elapsed).count();
+  if (!start) return;
+  const double sample = std::chrono::duration<double>(now - *start).count();
   mean_service_time_s_ += kSampleShare * (sample - mean_service_time_s_);
 }
 
 void LoadEstimator::OnRequestAborted(TimePoint now) {
   UpdateUtilisation(now);
   if (in_progress_ > 0) --in_progress_;
+  ++departures_;
+  departure_times_[departures_ % kDepartureHistory] = now;
 }
 
 void LoadEstimator::Reset(TimePoint now) {
@@ -49,14 +67,28 @@
   utilisation_ = 0;
 }
 
+double LoadEstimator::ServiceTimeSeconds() const {
+  return mean_service_time_s_ * (warming_up_ ? kWarmupFactor : 1.0);
+}
+
+std::uint32_t LoadEstimator::QueueLength() const {
+  const auto requests = in_progress_ + expected_requests_ + 1;
+  return requests > slots_ ? requests - slots_ : 0;
+}
+
+std::chrono::microseconds LoadEstimator::AnswerTime() const {
+  // Slots may become free all at once, so the last requests of the queue wait
+  // for whole rounds.
+  const auto rounds = (QueueLength() + slots_ - 1) / slots_;
+  return std::chrono::microseconds(
+      std::llround(ServiceTimeSeconds() * (1 + rounds) * 1e6));
+}
+
 std::chrono::microseconds LoadEstimator::ExpectedWait(TimePoint now) {
   UpdateUtilisation(now);
-  const double queue_length = std::max(
-      0.0, static_cast<double>(in_progress_ + expected_requests_ + 1) - slots_);
-  const double service_time =
-      mean_service_time_s_ * (warming_up_ ? kWarmupFactor : 1.0);
-  const double wait = service_time * (1 + queue_length / slots_);
   const double idle_share = 1 - std::min(utilisation_, kMaxUtilisation);
+  const double queue_share = static_cast<double>(QueueLength()) / slots_;
+  const double wait = ServiceTimeSeconds() * (1 + queue_share);
   return std::chrono::microseconds(std::llround(wait / idle_share * 1e6));
 }
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -89,12 +89,21 @@
     Forward(frame, segment, packet, now, out);
     return;
   }
-  if (frame.forced || load_.HasFreeSlot()) {
+  const AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
+                             load_.AnswerTime()};
+  const auto admission = DecideAdmission(state, frame.time_left);
+  // Without a latency target, the choice of the others is final.
+  const bool chosen =
+      frame.forced && (admission == Admission::kCandidate || !frame.time_left);
+  if (admission == Admission::kAccept || chosen) {
     Accept(frame, segment, packet, now, out);
     return;
   }
-  const auto wait = static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
-  if (load_.CanQueue() && wait < frame.best_wait_us) {
+  const auto wait = static_cast<std::uint32_t>(state.answer_time.count());
+  if (admission == Admission::kTooLate) {
+    frame.overloaded = true;
+    LogDecision("pass_on", "too_late", segment.flow, frame);
+  } else if (wait < frame.best_wait_us) {
     frame.best_wait_us = wait;
     frame.best_place = frame.place;
   }
@@ -200,16 +209,14 @@
     load_.OnExpectedRequestEnded();
   }
   entry.request_in_progress = true;
-  entry.request_start = now;
-  entry.request_queued = load_.all_slots_taken();
-  load_.OnStarted(now);
+  entry.request = load_.OnStarted(now);
 }
 
 void Sidecar::EndRequest(FlowEntry& entry, TimePoint now) {
   if (!entry.request_in_progress) return;
   entry.request_in_progress = false;
-  stats_.request_time.Record(now - entry.request_start);
-  load_.OnResponse(now - entry.request_start, entry.request_queued, now);
+  stats_.request_time.Record(now - entry.request.arrival);
+  load_.OnResponse(entry.request, now);
 }
 
 /// Removes the requests of a flow from the load estimate.
@@ -411,6 +418,7 @@
   ack.flow = segment.flow;
   ack.caller_ack = segment.ack;
   ack.next = next;
+  ack.overloaded = frame.overloaded;
   out.SendAck(frame.balancer, ack);
 }
 
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -21,6 +21,8 @@
     std::uint32_t slots = 2;
     std::uint32_t queue = 8;
     std::chrono::milliseconds service_time{20};
+    /// Service time of the next request, in place of `service_time` if set.
+    std::function<std::chrono::milliseconds()> draw_service_time = nullptr;
   };
   /// Callbacks into the simulation: network and timers.
   struct Output {
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -106,10 +106,10 @@
   LoadEstimator load;
   load.SetSlots(2);
   load.OnRequestExpected();
-  load.OnStarted(kStart);
+  const auto request = load.OnStarted(kStart);
   BOOST_TEST(!load.HasFreeSlot());
   BOOST_TEST(load.free_slots() == 0);
-  load.OnResponse(milliseconds(20), false, kStart + milliseconds(20));
+  load.OnResponse(request, kStart + milliseconds(20));
   BOOST_TEST(load.HasFreeSlot());
   load.OnExpectedRequestEnded();
   BOOST_TEST(load.free_slots() == 2);
@@ -120,11 +120,11 @@
   LoadEstimator slow;
   auto now = kStart;
   for (int i = 0; i < 60; ++i) {
-    fast.OnStarted(now);
-    slow.OnStarted(now);
+    const auto fast_request = fast.OnStarted(now);
+    const auto slow_request = slow.OnStarted(now);
+    fast.OnResponse(fast_request, now + milliseconds(10));
     now += milliseconds(40);
-    fast.OnResponse(milliseconds(10), false, now);
-    slow.OnResponse(milliseconds(40), false, now);
+    slow.OnResponse(slow_request, now);
   }
   BOOST_TEST((fast.ExpectedWait(now) * 2 < slow.ExpectedWait(now)));
 }
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -104,10 +104,13 @@
   host.sidecar->OnReport(report, now_);
 }
 
-void Simulation::SetRoutes(std::uint64_t version, const std::string& service) {
+void Simulation::SetRoutes(std::uint64_t version, const std::string& service,
+                           milliseconds latency_target) {
   auto routes = std::make_shared<RouteTable>();
   routes->version = version;
-  routes->routes[kServiceAddress].targets.push_back({TagOf(service), 1});
+  auto& route = routes->routes[kServiceAddress];
+  route.targets.push_back({TagOf(service), 1});
+  if (latency_target > milliseconds{0}) route.latency_target = latency_target;
   for (auto& [index, balancer] : balancers_) balancer->SetRoutes(routes);
 }
 
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -32,7 +32,9 @@
   void AddBalancer(int index, bool complete = true);
   void AddSidecar(int index, const std::string& service,
                   const FakeUpstream::Options& options = {});
-  void SetRoutes(std::uint64_t version, const std::string& service);
+  /// @param latency_target of the route, none if 0.
+  void SetRoutes(std::uint64_t version, const std::string& service,
+                 std::chrono::milliseconds latency_target = {});
   /// Sets the members of a service at one balancer.
   void UpdateMembers(int balancer, const std::string& service,
                      const std::vector<int>& sidecars);
