Sidecars keep a copy of the configuration for balancers that start alone

Cause: only balancers held the configuration document. When all of them were killed while the store was silent, they had no route until the store was back, although every sidecar and upstream lived.

Change: eight sidecars, chosen by rendezvous hashing, keep the newest document.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -29,6 +29,8 @@
   std::vector<InstanceAddress> started;
   std::uint64_t config = 0;  ///< Configuration version of the sender.
   bool watching = false;     ///< The sender watches the store.
+  /// The sender asks to keep a copy of its configuration document.
+  bool keep_document = false;
 };
 
 /// Gossip protocol that spreads the entries of all instances among the
@@ -83,6 +85,9 @@
   void OnTick(TimePoint now);
   /// Sends a message to all balancers now.
   void Broadcast();
+  /// Announces the configuration version to the sidecars that are to keep a
+  /// copy of the document.
+  void NotifyDocumentHolders();
   /// @return the messages to send, and removes them.
   std::vector<Outgoing> TakeOutgoing() { return std::exchange(outgoing_, {}); }
 
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -25,6 +25,8 @@
   std::uint64_t digest = 0;
   /// The sender's table holds all entries of the store.
   bool complete = false;
+  /// The receiver is to keep a copy of the document of version `config`.
+  bool keep_document = false;
   std::vector<PeerEntry> entries;
 };
 
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "cowslip/peers/document_holders.h"
+
 namespace cowslip::peers {
 
 Gossip::Gossip(PeerEntry self, std::uint64_t seed)
@@ -117,6 +119,7 @@
   if (message.sender == self_.address) return update;
   update.config = message.config;
   update.watching = message.watching;
+  update.keep_document = message.keep_document;
   if (message.balancer) connected_ = true;
   const auto verified = now - message.verified_age;
   if (message.verified_config != 0 && verified > verified_at_) {
@@ -174,6 +177,14 @@
   }
 }
 
+void Gossip::NotifyDocumentHolders() {
+  for (const auto to : ChooseDocumentHolders(table_)) {
+    auto message = MakeMessage(now_);
+    message.keep_document = true;
+    outgoing_.push_back({to, std::move(message)});
+  }
+}
+
 void Gossip::OnTick(TimePoint now) {
   now_ = now;
   if (now - last_heartbeat_ < (connected_ ? kInterval : kHelloInterval)) return;
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -57,7 +57,7 @@
       builder, message.sender, message.balancer, message.config,
       message.verified_config, ToMilliseconds(message.verified_age),
       message.watching, message.want_all, message.digest, &entries,
-      message.complete));
+      message.complete, message.keep_document));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -85,6 +85,7 @@
   message.want_all = raw->want_all();
   message.digest = raw->digest();
   message.complete = raw->complete();
+  message.keep_document = raw->keep_document();
   if (raw->entries() != nullptr) {
     for (const auto* entry : *raw->entries()) {
       if (entry->service() != nullptr &&
