--- a/tests/segment/fake_upstream.cc
+++ b/tests/segment/fake_upstream.cc
@@ -81,8 +81,8 @@
   ++busy_;
   ++started_requests_;
   if (output_.runs) output_.runs(flow, flows_[flow].caller_next);
-  const auto service_time = options_.draw_service_time
-                                ? options_.draw_service_time()
+  const auto service_time = output_.draw_service_time
+                                ? output_.draw_service_time()
                                 : options_.service_time;
   output_.after(service_time, [this, flow, start = start_] {
     if (!alive_ || start != start_) return;
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -21,8 +21,6 @@
     std::uint32_t slots = 2;
     std::uint32_t queue = 8;
     std::chrono::milliseconds service_time{20};
-    /// Service time of the next request, in place of `service_time` if set.
-    std::function<std::chrono::milliseconds()> draw_service_time = nullptr;
   };
   /// Callbacks into the simulation: network and timers.
   struct Output {
@@ -34,6 +32,9 @@
     /// Called when it starts to serve the request that ends at this sequence
     /// number; may be empty.
     std::function<void(const FlowKey&, std::uint32_t end)> runs = nullptr;
+    /// Service time of the next request, in place of Options::service_time; may
+    /// be empty.
+    std::function<std::chrono::milliseconds()> draw_service_time = nullptr;
   };
 
   FakeUpstream(const Options& options, Output output)
--- a/tests/segment/overload_test.cc
+++ b/tests/segment/overload_test.cc
@@ -52,7 +52,7 @@
     for (int i = 0; i < kBalancers; ++i) sim_.AddBalancer(i);
     FakeUpstream::Options options;
     options.slots = load.slots;
-    options.draw_service_time = [this] { return DrawServiceTime(); };
+    sim_.SetServiceTimes([this] { return DrawServiceTime(); });
     for (int i = 0; i < kUpstreams; ++i) sim_.AddSidecar(i, "vault", options);
     sim_.SetRoutes(1, "vault", kTarget);
     sim_.UpdateAllMembers();
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -76,6 +76,7 @@
   output.after = [this](milliseconds delay, std::function<void()> run) {
     After(delay, std::move(run));
   };
+  output.draw_service_time = draw_service_time_;
   host->upstream = std::make_unique<FakeUpstream>(options, output);
   RestartSidecar(index, false);
 }
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -30,6 +30,10 @@
 
   /// @param complete whether it has all members that the store lists.
   void AddBalancer(int index, bool complete = true);
+  /// Sets how the upstreams that are added later draw their service times.
+  void SetServiceTimes(std::function<std::chrono::milliseconds()> draw) {
+    draw_service_time_ = std::move(draw);
+  }
   void AddSidecar(int index, const std::string& service,
                   const FakeUpstream::Options& options = {});
   /// @param latency_target of the route, none if 0.
@@ -133,6 +137,7 @@
   std::set<InstanceAddress> isolated_;
   static constexpr int kAnyBalancer = -1;
   int entry_balancer_ = 0;
+  std::function<std::chrono::milliseconds()> draw_service_time_;
   std::map<InstanceAddress, Link> links_;
   /// Datagrams in the sockets of suspended balancers.
   std::map<int, std::deque<std::function<void()>>> suspended_;
