Gossip repairs tables by comparing ranges, and forwards changes in batches

Cause: any difference between two digests sent the whole table, at most each 400 ms to each instance. While entries change, tables differ all the time, so bytes grow with machines times machines. Each change was forwarded in a message of its own.

Change: TableDigest keeps digests of 64 buckets of 16 parts; an instance with another digest gets those of the buckets and asks for what differs. Forwards of 20 ms share a message, those of leaving instances first. Repair messages have a budget for each process. New fields of the message; earlier builds get and send whole tables (EarlierBuildGetsWholeTables). TokenBucket serves both budgets.

Test: gossip_repair_test, whole tables and ranges in the same run: 91 balancers, 204 sidecars, 40 % of the entries changed at once: 23.3 and 5.2 MB, all know after 1,200 and 600 ms.

--- a/packages/base/include/cowslip/base.h
+++ b/packages/base/include/cowslip/base.h
@@ -12,4 +12,5 @@
 #include "cowslip/base/ids.h"                // IWYU pragma: export
 #include "cowslip/base/last_reason.h"        // IWYU pragma: export
 #include "cowslip/base/latency_histogram.h"  // IWYU pragma: export
+#include "cowslip/base/token_bucket.h"       // IWYU pragma: export
 #include "cowslip/base/upstream.h"           // IWYU pragma: export
--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -38,7 +39,8 @@
 ///
 /// An instance publishes a change of its entry to a few balancers, which
 /// forward it to the others. Digests in the heartbeats make up for lost
-/// messages.
+/// messages: two instances with different tables compare the digests of ranges
+/// and exchange only the entries of ranges that differ.
 class Gossip {
  public:
   /// Interval of heartbeats.
@@ -47,12 +49,25 @@
   static constexpr std::size_t kFanout = 2;
   /// Balancers that an instance publishes its own changes to.
   static constexpr std::size_t kDirectFanout = 3;
-  /// Balancers that each of these forwards a change to.
+  /// Balancers that each of these forwards a change to, together with others
+  /// of the same tick.
   static constexpr std::size_t kForwardFanout = 32;
   /// Interval of hello messages until a balancer has answered.
   static constexpr std::chrono::milliseconds kHelloInterval{60};
-  /// Shortest interval at which the whole table is sent to the same instance.
+  /// Shortest interval at which an instance is offered a comparison, or sent
+  /// the whole table.
   static constexpr std::chrono::milliseconds kSyncInterval{400};
+  /// Buckets of which one message compares the parts; others follow with a
+  /// later heartbeat.
+  static constexpr std::size_t kMaxComparedBuckets = 20;
+  /// Time until a range is asked for again.
+  static constexpr std::chrono::milliseconds kAnswerTime{100};
+  /// Ranges that one message asks for.
+  static constexpr std::size_t kMaxWanted = 64;
+  /// Repair messages per second and in a burst, about 1 kB each: a limit for
+  /// the time after many instances have started at once.
+  static constexpr double kRepairRate = 100;
+  static constexpr double kRepairBurst = 200;
 
   Gossip(PeerEntry self, std::uint64_t seed);
 
@@ -81,7 +96,8 @@
 
   /// Handles a message of another instance.
   MembershipUpdate OnMessage(const Message& message, TimePoint now);
-  /// Sends heartbeats, or hello messages, when they are due.
+  /// Forwards changes, and sends heartbeats or hello messages when they are
+  /// due. Call every few milliseconds.
   void OnTick(TimePoint now);
   /// Sends a message to all balancers now.
   void Broadcast();
@@ -108,10 +124,31 @@
 
  private:
   void PublishSelf();
-  void PublishEntry(const PeerEntry& entry);
+  /// Forwards a change to other balancers with the next tick.
+  void ForwardLater(InstanceAddress address);
+  void ForwardChanges();
   void SendPredecessor(const PeerEntry& entry);
   Message MakeMessage(TimePoint now) const;
-  void SendTable(InstanceAddress to, bool to_balancer, TimePoint now);
+  void SendTable(InstanceAddress to, bool to_balancer);
+  /// Sends entries within the budget.
+  void SendEntries(InstanceAddress to, std::span<const PeerEntry> entries);
+  /// Offers an instance whose table differs a comparison of the buckets.
+  void OfferComparison(const Message& from);
+  /// Compares the digests of ranges; asks for the entries of those that differ,
+  /// or continues with the parts of a bucket.
+  void CompareRanges(const Message& from);
+  void SendRanges(const Message& from, const std::vector<RangeIndex>& ranges);
+  /// @return the digests of the entries that both instances keep.
+  const TableDigest& SharedDigest(const Message& from) const {
+    return table_.Digest(!self_.balancer || !from.balancer);
+  }
+  /// @return whether a range is to be asked for: not if an instance has just
+  /// been asked.
+  bool MayAskFor(RangeIndex range);
+  /// Takes a token of the budget for repair messages.
+  bool MayRepair() { return repair_budget_.TryTake(now_); }
+  /// @return whether a repair of this instance's table is due again.
+  bool MaySync(InstanceAddress with);
   std::vector<InstanceAddress> PickBalancers(std::size_t count);
   void MergeEntry(const PeerEntry& entry, MembershipUpdate& update);
 
@@ -121,7 +158,11 @@
   std::mt19937_64 random_;
   std::vector<InstanceAddress> seeds_;
   std::vector<Outgoing> outgoing_;
-  std::map<InstanceAddress, TimePoint> last_table_sent_;
+  /// Instances whose changes wait to be forwarded.
+  std::vector<InstanceAddress> forward_queue_;
+  std::map<InstanceAddress, TimePoint> last_sync_;
+  std::array<TimePoint, TableDigest::kRanges> asked_at_{};
+  TokenBucket repair_budget_{kRepairRate, kRepairBurst};
   bool connected_ = false;  ///< A balancer has answered since the start.
   bool complete_ = false;
   bool watching_ = false;
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -7,6 +7,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/peers/peer_entry.h"
+#include "cowslip/peers/table_digest.h"
 
 namespace cowslip::peers {
 
@@ -27,6 +28,13 @@
   bool complete = false;
   /// The receiver is to keep a copy of the document of version `config`.
   bool keep_document = false;
+  /// The sender finds differences by ranges; earlier builds only send and
+  /// expect whole tables.
+  bool compares_ranges = false;
+  /// Digests of parts of the sender's table, for the receiver to compare.
+  std::vector<DigestRun> ranges;
+  /// Ranges whose entries the sender asks for.
+  std::vector<RangeIndex> wanted;
   std::vector<PeerEntry> entries;
 };
 
--- a/packages/peers/include/cowslip/peers/peer_table.h
+++ b/packages/peers/include/cowslip/peers/peer_table.h
@@ -6,6 +6,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/peers/peer_entry.h"
+#include "cowslip/peers/table_digest.h"
 
 namespace cowslip::peers {
 
@@ -22,7 +23,7 @@
   /// Adds an entry, or replaces an older version of it.
   MergeResult Merge(const PeerEntry& entry);
   /// Removes an instance that is missing from the store.
-  void Remove(InstanceAddress address) { entries_.erase(address); }
+  void Remove(InstanceAddress address);
 
   const PeerEntry* Find(InstanceAddress address) const;
   const std::map<InstanceAddress, PeerEntry>& entries() const {
@@ -30,12 +31,18 @@
   }
   /// @return the balancers that have not stopped as planned.
   std::vector<InstanceAddress> Balancers() const;
-  /// @return a hash that is equal for equal tables.
+  /// @return the digests of the table.
   /// @param balancers_only whether to leave out the sidecars.
-  std::uint64_t Digest(bool balancers_only) const;
+  const TableDigest& Digest(bool balancers_only) const {
+    return balancers_only ? balancer_digest_ : digest_;
+  }
 
  private:
+  void ToggleDigest(const PeerEntry& entry);
+
   std::map<InstanceAddress, PeerEntry> entries_;
+  TableDigest digest_;
+  TableDigest balancer_digest_;
 };
 
 }  // namespace cowslip::peers
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -1,10 +1,28 @@
 #include "cowslip/peers/gossip.h"
 
 #include <algorithm>
+#include <bitset>
 
 #include "cowslip/peers/document_holders.h"
 
 namespace cowslip::peers {
+namespace {
+
+/// Average number of entries in a bucket up to which its entries are exchanged
+/// without a comparison of its parts.
+constexpr std::size_t kMaxEntriesPerBucket = 2;
+
+/// @return the order in which changes are forwarded: first those after which an
+/// instance must not be used, then those of new processes.
+int UrgencyOf(const PeerEntry* entry) {
+  enum Urgency { kUnusable, kNewProcess, kOther };
+  if (entry == nullptr) return kOther;
+  if (entry->left || entry->no_upstream) return kUnusable;
+  constexpr std::uint32_t kFirstChanges = 2;
+  return entry->sequence <= kFirstChanges ? kNewProcess : kOther;
+}
+
+}  // namespace
 
 Gossip::Gossip(PeerEntry self, std::uint64_t seed)
     : self_(std::move(self)), random_(seed) {
@@ -20,8 +38,9 @@
   message.verified_age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - verified_at_);
   message.watching = watching_;
-  message.digest = table_.Digest(!self_.balancer);
+  message.digest = table_.Digest(!self_.balancer).total();
   message.complete = complete_;
+  message.compares_ranges = true;
   return message;
 }
 
@@ -37,20 +56,41 @@
   return balancers;
 }
 
-void Gossip::PublishEntry(const PeerEntry& entry) {
-  const bool own = entry.address == self_.address;
-  for (const auto to : PickBalancers(own ? kDirectFanout : kForwardFanout)) {
-    if (to == entry.address) continue;
+void Gossip::PublishSelf() {
+  ++self_.sequence;
+  table_.Merge(self_);
+  for (const auto to : PickBalancers(kDirectFanout)) {
     auto message = MakeMessage(now_);
-    message.entries.push_back(entry);
+    message.entries.push_back(self_);
     outgoing_.push_back({to, std::move(message)});
   }
 }
 
-void Gossip::PublishSelf() {
-  ++self_.sequence;
-  table_.Merge(self_);
-  PublishEntry(self_);
+void Gossip::ForwardLater(InstanceAddress address) {
+  const auto queued =
+      std::find(forward_queue_.begin(), forward_queue_.end(), address);
+  if (queued == forward_queue_.end()) forward_queue_.push_back(address);
+}
+
+/// Forwards the most urgent of the changes that wait, as many as fit a message.
+void Gossip::ForwardChanges() {
+  if (forward_queue_.empty()) return;
+  std::stable_sort(forward_queue_.begin(), forward_queue_.end(),
+                   [&](InstanceAddress a, InstanceAddress b) {
+                     return UrgencyOf(table_.Find(a)) <
+                            UrgencyOf(table_.Find(b));
+                   });
+  const auto count = std::min(forward_queue_.size(), kMaxEntries);
+  const auto end = forward_queue_.begin() + static_cast<std::ptrdiff_t>(count);
+  auto message = MakeMessage(now_);
+  for (auto address = forward_queue_.begin(); address != end; ++address) {
+    const auto* entry = table_.Find(*address);
+    if (entry != nullptr) message.entries.push_back(*entry);
+  }
+  forward_queue_.erase(forward_queue_.begin(), end);
+  for (const auto to : PickBalancers(kForwardFanout)) {
+    outgoing_.push_back({to, message});
+  }
 }
 
 void Gossip::SetOpen(bool on, std::uint64_t id, TimePoint now) {
@@ -131,21 +171,111 @@
     if (self_.balancer && from_owner) SendPredecessor(entry);
     MergeEntry(entry, update);
     const bool changed = update.changed.size() > changed_before;
-    if (self_.balancer && changed && from_owner) PublishEntry(entry);
+    if (self_.balancer && changed && from_owner) ForwardLater(entry.address);
   }
+  if (!message.ranges.empty()) CompareRanges(message);
   if (!self_.balancer) return update;
+  if (!message.wanted.empty()) SendRanges(message, message.wanted);
   // Equal digests: this table holds the same entries as the complete one.
   if (message.balancer && message.complete &&
-      message.digest == table_.Digest(false)) {
+      message.digest == table_.Digest(false).total()) {
     complete_ = true;
   }
-  const bool tables_differ = message.digest != table_.Digest(!message.balancer);
-  if (message.want_all || tables_differ) {
-    SendTable(message.sender, message.balancer, now);
+  const bool repairing = !message.ranges.empty() || !message.wanted.empty();
+  const bool tables_differ = message.digest != SharedDigest(message).total();
+  if (message.want_all || (tables_differ && !message.compares_ranges)) {
+    SendTable(message.sender, message.balancer);
+  } else if (tables_differ && !repairing) {
+    OfferComparison(message);
   }
   return update;
 }
 
+bool Gossip::MaySync(InstanceAddress with) {
+  auto& last = last_sync_[with];
+  if (last != TimePoint{} && now_ - last < kSyncInterval) return false;
+  last = now_;
+  return true;
+}
+
+void Gossip::OfferComparison(const Message& from) {
+  if (!MaySync(from.sender) || !MayRepair()) return;
+  auto message = MakeMessage(now_);
+  message.ranges = SharedDigest(from).Buckets();
+  outgoing_.push_back({from.sender, std::move(message)});
+}
+
+void Gossip::CompareRanges(const Message& from) {
+  const auto& digest = SharedDigest(from);
+  std::vector<RangeIndex> differing;
+  for (const auto& run : from.ranges) {
+    for (std::size_t i = 0; i < DigestRun::kLength; ++i) {
+      const auto range = run.first + i;
+      if (range >= TableDigest::kRanges) break;
+      const auto index = static_cast<RangeIndex>(range);
+      if (digest.Of(index) != run.digests[i]) differing.push_back(index);
+    }
+  }
+  if (differing.empty() || !MayRepair()) return;
+  // Which differences one message covers changes from exchange to exchange.
+  std::shuffle(differing.begin(), differing.end(), random_);
+  const bool small_table =
+      table_.entries().size() <= kMaxEntriesPerBucket * TableDigest::kBuckets;
+  const bool compares_parts = !small_table && self_.balancer && from.balancer;
+  auto message = MakeMessage(now_);
+  std::vector<RangeIndex> differing_parts;
+  for (const auto range : differing) {
+    if (!MayAskFor(range)) continue;
+    if (!TableDigest::IsBucket(range)) differing_parts.push_back(range);
+    if (compares_parts && TableDigest::IsBucket(range)) {
+      if (message.ranges.size() == kMaxComparedBuckets) break;
+      message.ranges.push_back(digest.Parts(range));
+    } else {
+      if (message.wanted.size() == kMaxWanted) break;
+      message.wanted.push_back(range);
+    }
+  }
+  if (message.ranges.empty() && message.wanted.empty()) return;
+  outgoing_.push_back({from.sender, std::move(message)});
+  // The sender doesn't know which parts differ, so it can't ask for them.
+  if (!differing_parts.empty()) SendRanges(from, differing_parts);
+}
+
+bool Gossip::MayAskFor(RangeIndex range) {
+  auto& asked_at = asked_at_[range];
+  if (asked_at != TimePoint{} && now_ - asked_at < kAnswerTime) return false;
+  asked_at = now_;
+  return true;
+}
+
+void Gossip::SendRanges(const Message& from,
+                        const std::vector<RangeIndex>& ranges) {
+  std::bitset<TableDigest::kRanges> wanted;
+  for (const auto range : ranges) {
+    if (range < TableDigest::kRanges) wanted.set(range);
+  }
+  std::vector<PeerEntry> entries;
+  for (const auto& [address, entry] : table_.entries()) {
+    if (!from.balancer && !entry.balancer) continue;
+    if (wanted.test(TableDigest::BucketOf(address)) ||
+        wanted.test(TableDigest::PartOf(address))) {
+      entries.push_back(entry);
+    }
+  }
+  SendEntries(from.sender, entries);
+}
+
+void Gossip::SendEntries(InstanceAddress to,
+                         std::span<const PeerEntry> entries) {
+  while (!entries.empty() && MayRepair()) {
+    const auto count = std::min(entries.size(), kMaxEntries);
+    auto message = MakeMessage(now_);
+    message.entries.assign(entries.begin(), entries.begin() + count);
+    outgoing_.push_back({to, std::move(message)});
+    entries = entries.subspan(count);
+  }
+}
+
 /// Sends the entry of the previous process to an instance that has restarted.
 void Gossip::SendPredecessor(const PeerEntry& entry) {
   const auto* known = table_.Find(entry.address);
@@ -155,20 +285,17 @@
   outgoing_.push_back({entry.address, std::move(message)});
 }
 
-void Gossip::SendTable(InstanceAddress to, bool to_balancer, TimePoint now) {
-  auto& last_sent = last_table_sent_[to];
-  if (last_sent != TimePoint{} && now - last_sent < kSyncInterval) return;
-  last_sent = now;
-  auto message = MakeMessage(now);
+void Gossip::SendTable(InstanceAddress to, bool to_balancer) {
+  if (!MaySync(to)) return;
+  std::vector<PeerEntry> entries;
   for (const auto& [address, entry] : table_.entries()) {
     // Sidecars only need the entries of balancers and of their own predecessor.
     if (!to_balancer && !entry.balancer && address != to) continue;
-    message.entries.push_back(entry);
-    if (message.entries.size() < kMaxEntries) continue;
-    outgoing_.push_back({to, message});
-    message.entries.clear();
+    entries.push_back(entry);
   }
-  if (!message.entries.empty()) outgoing_.push_back({to, std::move(message)});
+  // If the budget ends, the rest follows by comparison.
+  std::shuffle(entries.begin(), entries.end(), random_);
+  SendEntries(to, entries);
 }
 
 void Gossip::Broadcast() {
@@ -187,6 +314,7 @@
 
 void Gossip::OnTick(TimePoint now) {
   now_ = now;
+  ForwardChanges();
   if (now - last_heartbeat_ < (connected_ ? kInterval : kHelloInterval)) return;
   last_heartbeat_ = now;
   // Until a balancer answers, the seeds may be more up to date than the table.
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -37,6 +37,23 @@
   return static_cast<std::uint32_t>(age.count());
 }
 
+/// @return false if the digests do not belong to the runs.
+bool ReadRuns(const wire::Message& raw, std::vector<DigestRun>& runs) {
+  const auto* digests = raw.digests();
+  const auto count = digests == nullptr ? 0 : digests->size();
+  if (count != raw.runs()->size() * DigestRun::kLength) return false;
+  for (flatbuffers::uoffset_t i = 0; i < raw.runs()->size(); ++i) {
+    DigestRun run;
+    run.first = raw.runs()->Get(i);
+    for (std::size_t j = 0; j < DigestRun::kLength; ++j) {
+      run.digests[j] = digests->Get(
+          static_cast<flatbuffers::uoffset_t>(i * DigestRun::kLength + j));
+    }
+    runs.push_back(run);
+  }
+  return true;
+}
+
 }  // namespace
 
 bool IsMessage(ByteView datagram) {
@@ -53,11 +70,19 @@
         entry.sequence, entry.service.c_str(), entry.accepts, entry.left,
         entry.upstream, entry.lease, entry.no_upstream));
   }
+  std::vector<std::uint16_t> runs;
+  std::vector<std::uint32_t> digests;
+  for (const auto& run : message.ranges) {
+    runs.push_back(run.first);
+    digests.insert(digests.end(), run.digests.begin(), run.digests.end());
+  }
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config,
       message.verified_config, ToMilliseconds(message.verified_age),
       message.watching, message.want_all, message.digest, &entries,
-      message.complete, message.keep_document));
+      message.complete, message.keep_document, message.compares_ranges,
+      runs.empty() ? nullptr : &runs, digests.empty() ? nullptr : &digests,
+      message.wanted.empty() ? nullptr : &message.wanted));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -86,6 +111,13 @@
   message.digest = raw->digest();
   message.complete = raw->complete();
   message.keep_document = raw->keep_document();
+  message.compares_ranges = raw->compares_ranges();
+  if (raw->runs() != nullptr && !ReadRuns(*raw, message.ranges)) {
+    return std::nullopt;
+  }
+  if (raw->wanted() != nullptr) {
+    message.wanted.assign(raw->wanted()->begin(), raw->wanted()->end());
+  }
   if (raw->entries() != nullptr) {
     for (const auto* entry : *raw->entries()) {
       if (entry->service() != nullptr &&
--- a/packages/peers/src/peer_table.cc
+++ b/packages/peers/src/peer_table.cc
@@ -1,19 +1,19 @@
 #include "cowslip/peers/peer_table.h"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
-#include <array>
-
 namespace cowslip::peers {
 
 MergeResult PeerTable::Merge(const PeerEntry& entry) {
   const auto [found, added] = entries_.try_emplace(entry.address, entry);
-  if (added) return MergeResult::kStarted;
   auto& known = found->second;
+  if (added) {
+    ToggleDigest(known);
+    return MergeResult::kStarted;
+  }
   if (!entry.NewerThan(known)) return MergeResult::kUnchanged;
   const bool started = entry.incarnation != known.incarnation;
+  ToggleDigest(known);
   known = entry;
+  ToggleDigest(known);
   return started ? MergeResult::kStarted : MergeResult::kUpdated;
 }
 
@@ -30,15 +30,16 @@
   return balancers;
 }
 
-std::uint64_t PeerTable::Digest(bool balancers_only) const {
-  std::uint64_t digest = 0;
-  for (const auto& [address, entry] : entries_) {
-    if (balancers_only && !entry.balancer) continue;
-    const std::array<std::uint64_t, 3> words{address, entry.incarnation,
-                                             entry.sequence};
-    digest ^= XXH3_64bits(words.data(), sizeof words);
-  }
-  return digest;
+void PeerTable::Remove(InstanceAddress address) {
+  const auto found = entries_.find(address);
+  if (found == entries_.end()) return;
+  ToggleDigest(found->second);
+  entries_.erase(found);
+}
+
+void PeerTable::ToggleDigest(const PeerEntry& entry) {
+  digest_.Toggle(entry);
+  if (entry.balancer) balancer_digest_.Toggle(entry);
 }
 
 }  // namespace cowslip::peers
--- a/packages/segment/include/cowslip/segment/retry_budget.h
+++ b/packages/segment/include/cowslip/segment/retry_budget.h
@@ -1,13 +1,11 @@
 #pragma once
 
-#include <cstdint>
-
 #include "cowslip/base.h"
 
 namespace cowslip::segment {
 
 /// Limits the packets that a process sends again to a share of those that it
-/// sends for the first time, as a token bucket.
+/// sends for the first time.
 ///
 /// Handles the time after a failure in which many packets lack an
 /// acknowledgement at once: without a limit, resends can fill the link and so
@@ -23,15 +21,12 @@
   /// failed at the same moment.
   static constexpr double kBurst = 100;
 
-  void OnFirstTransmission();
+  void OnFirstTransmission() { tokens_.Add(kShare); }
   /// Takes the token of one resend. @return whether there was one.
-  bool TryTake(TimePoint now);
+  bool TryTake(TimePoint now) { return tokens_.TryTake(now); }
 
  private:
-  void Add(double tokens);
-
-  double tokens_ = kBurst;
-  TimePoint last_refill_{};
+  TokenBucket tokens_{kMinPerSecond, kBurst};
 };
 
 }  // namespace cowslip::segment
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -4,82 +4,16 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <map>
-#include <memory>
 #include <random>
 
+#include "support/gossip_fleet.h"
+
 namespace cowslip::peers {
 namespace {
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-PeerEntry MakeEntry(InstanceAddress address, bool balancer,
-                    std::uint64_t incarnation) {
-  PeerEntry entry;
-  entry.address = address;
-  entry.balancer = balancer;
-  entry.incarnation = incarnation;
-  entry.service = balancer ? "" : "vault";
-  return entry;
-}
-
-/// Instances that exchange messages on a lossy network, in steps of 20 ms.
-class Fleet {
- public:
-  explicit Fleet(std::uint64_t seed) : random_(seed) {}
-
-  Gossip& Add(const PeerEntry& entry) {
-    auto& gossip = instances_[entry.address];
-    gossip = std::make_unique<Gossip>(entry, entry.address);
-    gossip->SetSeeds({1, 2, 3});
-    return *gossip;
-  }
-  void Remove(InstanceAddress address) { instances_.erase(address); }
-  Gossip& At(InstanceAddress address) { return *instances_.at(address); }
-
-  void Run(milliseconds time) {
-    for (auto end = now_ + time; now_ < end; now_ += milliseconds(20)) {
-      for (auto& [address, gossip] : instances_) gossip->OnTick(now_);
-      // Responses to messages arrive in the same step.
-      for (int round = 0; round < 4; ++round) DeliverMessages();
-    }
-  }
-  void SetLoss(double loss) { loss_ = loss; }
-  TimePoint now() const { return now_; }
-  std::uint64_t bytes() const { return bytes_; }
-
- private:
-  void DeliverMessages() {
-    std::vector<Outgoing> sent;
-    for (auto& [address, gossip] : instances_) {
-      for (auto& out : gossip->TakeOutgoing()) sent.push_back(std::move(out));
-    }
-    for (const auto& out : sent) {
-      const auto datagram = Encode(out.message);
-      bytes_ += datagram.size();
-      const auto target = instances_.find(out.to);
-      const bool lost =
-          std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
-      if (target == instances_.end() || lost) continue;
-      const auto message = Decode(datagram);
-      BOOST_REQUIRE(message.has_value());
-      target->second->OnMessage(*message, now_);
-    }
-  }
-
-  std::mt19937_64 random_;
-  std::map<InstanceAddress, std::unique_ptr<Gossip>> instances_;
-  TimePoint now_{seconds(50)};
-  double loss_ = 0;
-  std::uint64_t bytes_ = 0;
-};
-
-void AddInstances(Fleet& fleet, int balancers, int sidecars) {
-  for (int i = 1; i <= balancers; ++i) fleet.Add(MakeEntry(i, true, 1));
-  for (int i = 1; i <= sidecars; ++i) fleet.Add(MakeEntry(100 + i, false, 1));
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(EveryBalancerKnowsAllInstances) {
