Balancers query all members for a limited number of flows while one is unresponsive

Each retransmission of a caller started a lookup over all 204 members, 18 frames of 12 hops: 46,000 lookups in 16 s, all uncertain, 0.45 GB in two seconds. Balancers that have just restarted query all services, so one silent member of any service is enough.

Change: the parts of a lookup after the first, which holds the likeliest owners, have a budget of 20 a second and 100 at once while a member that may own the flow is unresponsive.

--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -270,7 +270,8 @@
   while (!entries.empty() && MayRepair()) {
     const auto count = std::min(entries.size(), kMaxEntries);
     auto message = MakeMessage(now_);
-    message.entries.assign(entries.begin(), entries.begin() + count);
+    const auto part = entries.first(count);
+    message.entries.assign(part.begin(), part.end());
     outgoing_.push_back({to, std::move(message)});
     entries = entries.subspan(count);
   }
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -80,6 +80,11 @@
   bool IsIsolated(TimePoint now) const;
 
  private:
+  /// Parts of the member list, after the first, that are queried per second and
+  /// in a burst while some member is unresponsive.
+  static constexpr double kFullLookupRate = 20;
+  static constexpr double kFullLookupBurst = 100;
+
   void HandleSyn(const Segment& segment, ByteView packet, TimePoint now,
                  Outbox& out);
   /// @return whether a route or member that a SYN needs may be missing only
@@ -103,6 +108,10 @@
   /// lookup.
   /// @return whether the packet stays pending.
   bool ContinueLookup(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// @return whether to query the members after the likeliest ones. While a
+  /// member is unresponsive, no lookup can end with certainty, so the others
+  /// are queried for a limited number of flows only.
+  bool MayQueryAllMembers(const Route& route, TimePoint now);
   /// Counts a missing acknowledgement against the sidecar that owes it.
   void NoteTimeout(PendingPacket& pending, TimePoint now);
   /// Measures the round trip of a packet's first transmission.
@@ -136,6 +145,7 @@
   PendingPackets pending_;
   RoundTripEstimator round_trips_;
   RetryBudget retry_budget_;
+  TokenBucket full_lookup_budget_{kFullLookupRate, kFullLookupBurst};
   BalancerStats stats_;
 };
 
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -22,6 +22,9 @@
   /// SYNs and lookups that timed out.
   std::uint64_t given_up = 0;
   std::uint64_t resets = 0;  ///< Resets sent to callers.
+  /// Lookups that ended early because a member was unresponsive and the budget
+  /// was used up.
+  std::uint64_t shortened_lookups = 0;
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -36,6 +36,10 @@
   bool HasResponsiveMember() const;
   /// @return whether no member has joined a service of the route lately.
   bool IsStable(const Route& route, TimePoint now) const;
+  /// @return whether all members that may own a flow are responsive, so that a
+  /// lookup can end with certainty.
+  /// @param knows_former as for ListForExistingFlow().
+  bool AllResponsive(const Route& route, bool knows_former) const;
   /// @return whether some member of a service meets a condition.
   template <typename Condition>
   bool AnyMember(ServiceTag tag, const Condition& condition) const {
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -379,11 +379,15 @@
                               Outbox& out) {
   pending.awaiting_ack_from = 0;
   pending.candidates_queried += pending.candidates_covered;
+  const auto* route = routes_->Find(pending.segment.flow.service);
+  if (route != nullptr && !MayQueryAllMembers(*route, now)) {
+    ++stats_.shortened_lookups;
+    return false;
+  }
   if (BuildCandidates(pending, now)) {
     SendToCandidates(pending, now, out);
     return true;
   }
-  const auto* route = routes_->Find(pending.segment.flow.service);
   const bool certain = !pending.lookup_uncertain && route != nullptr &&
                        KnowsAllMembers(*route, now);
   if (!certain) return false;
@@ -397,6 +401,11 @@
   return !ResetLostFlow(pending, now, out);
 }
 
+bool Balancer::MayQueryAllMembers(const Route& route, TimePoint now) {
+  return members_.AllResponsive(route, KnowsFormerServices(now)) ||
+         full_lookup_budget_.TryTake(now);
+}
+
 bool Balancer::ResetLostFlow(const PendingPacket& pending, TimePoint now,
                              Outbox& out) {
   const auto& segment = pending.segment;
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -72,6 +72,25 @@
   });
 }
 
+bool CandidateSelector::AllResponsive(const Route& route,
+                                      bool knows_former) const {
+  const auto responsive = [&](ServiceTag tag) {
+    return !AnyMember(tag, [&](InstanceAddress member) {
+      return sidecar_states_->IsUnresponsive(member);
+    });
+  };
+  if (!knows_former) {
+    return std::all_of(
+        services_.begin(), services_.end(),
+        [&](const auto& each) { return responsive(each.first); });
+  }
+  return std::all_of(
+             route.targets.begin(), route.targets.end(),
+             [&](const auto& target) { return responsive(target.service); }) &&
+         std::all_of(route.former_services.begin(), route.former_services.end(),
+                     responsive);
+}
+
 bool CandidateSelector::IsStable(const Route& route, TimePoint now) const {
   const auto stable = [&](ServiceTag tag) {
     const auto service = services_.find(tag);
--- a/tests/segment/retry_test.cc
+++ b/tests/segment/retry_test.cc
@@ -162,4 +162,53 @@
   BOOST_TEST(resent <= packets);
 }
 
+// ontp-balanceo-large trouble-1: after a power loss some members stay listed
+// that have ended for good, so no lookup ends with certainty and no flow is
+// reset. Each retransmission of a caller queried all members again, 2.4 GB in
+// 16 s, with nothing gained. The balancers had restarted and queried the
+// members of all services, those of another one too.
+BOOST_DATA_TEST_CASE(LookupsWithoutCertaintyAreBounded,
+                     boost::unit_test::data::make({"vault", "archive"}),
+                     service_of_silent_member) {
+  constexpr int kSidecars = 163;
+  constexpr int kCallers = 300;
+  Simulation sim;
+  sim.AddBalancer(0);
+  for (int i = 0; i < kSidecars; ++i) {
+    sim.AddSidecar(i, "vault", {.slots = 8});
+  }
+  constexpr int kSilent = kSidecars;
+  sim.AddSidecar(kSilent, service_of_silent_member, {.slots = 8});
+  sim.SetRoutes(1, "vault");
+  sim.UpdateAllMembers();
+  for (int i = 0; i <= kSidecars; ++i) sim.Report(i);
+  for (int i = 0; i < kCallers; ++i) {
+    sim.AddCaller().Open();
+    sim.Run(milliseconds(5));
+  }
+  sim.Run(seconds(1));
+  for (int i = 0; i < kSidecars; ++i) {
+    sim.upstream(i).Restart();
+    sim.RestartSidecar(i, false);
+    sim.Report(i);
+  }
+  sim.Isolate(Simulation::SidecarAddress(kSilent));
+  sim.AddBalancer(0);
+  sim.SetRoutes(1, "vault");
+  sim.UpdateAllMembers();
+  // The first lookups show that the sidecar is unresponsive.
+  for (int i = 0; i < kCallers; i += 50) sim.callers()[i]->Ask();
+  sim.Run(seconds(2));
+  const auto packets = sim.balancer(0).stats().packets;
+  const auto datagrams = sim.datagrams();
+  for (int i = 0; i < kCallers; ++i) sim.callers()[i]->Ask();
+  sim.Run(seconds(4));
+  const auto per_packet =
+      static_cast<double>(sim.datagrams() - datagrams) /
+      static_cast<double>(sim.balancer(0).stats().packets - packets);
+  // The first part of the list: up to 12 frames, each with an acknowledgement.
+  constexpr double kFirstPart = 24;
+  BOOST_TEST(per_packet <= 2 * kFirstPart);
+}
+
 }  // namespace cowslip::segment::test
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -210,6 +210,7 @@
     const auto datagram = out.Datagram(effect);
     switch (effect.kind) {
       case EffectKind::kSendToInstance: {
+        ++datagrams_;
         const auto sent = Enqueue(from, &Link::out, effect.size);
         if (!sent || IsLost()) break;
         After(*sent + kInstanceLatency,
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -73,6 +73,8 @@
   Sidecar& sidecar(int index) { return *sidecars_.at(index)->sidecar; }
   FakeUpstream& upstream(int index) { return *sidecars_.at(index)->upstream; }
   std::vector<std::unique_ptr<FakeCaller>>& callers() { return callers_; }
+  /// @return datagrams that balancers and sidecars have sent to each other.
+  std::uint64_t datagrams() const { return datagrams_; }
   /// @return number of resets of flows that a running upstream owned.
   int wrong_resets() const { return wrong_resets_; }
   /// @return the index of the sidecar whose upstream owns a flow, or -1.
@@ -143,6 +145,7 @@
   std::map<int, std::deque<std::function<void()>>> suspended_;
   double loss_ = 0;
   int wrong_resets_ = 0;
+  std::uint64_t datagrams_ = 0;
   bool ticking_ = false;
 };
 
