--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <stdexcept>
 
 namespace cowslip::segment {
@@ -47,16 +48,21 @@
 /// an instance that has used up its CPU quota.
 constexpr std::chrono::milliseconds kUpdatePropagationTime{200};
 
-/// @param copy number of the SYN's copy, 0 for the first one.
+/// @param copy number of the SYN's copy as the caller sent it: any value, 0 for
+/// the first copy.
+std::size_t CopyIndex(std::uint32_t copy) {
+  return std::min<std::size_t>(copy, kSynLifetimes.size() - 1);
+}
+
 std::chrono::milliseconds SynLifetime(std::uint32_t copy) {
-  return kSynLifetimes[std::min<std::size_t>(copy, kSynLifetimes.size() - 1)];
+  return kSynLifetimes[CopyIndex(copy)];
 }
 
 /// @return time since the caller's first packet when it sends this copy.
 std::chrono::milliseconds SynAge(std::uint32_t copy) {
-  std::chrono::milliseconds age{0};
-  for (std::uint32_t i = 0; i < copy; ++i) age += SynLifetime(i);
-  return age;
+  const auto* const end = kSynLifetimes.begin() + CopyIndex(copy);
+  return std::accumulate(kSynLifetimes.begin(), end,
+                         std::chrono::milliseconds{0});
 }
 
 flow::HintCache MakeHints() {
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -336,6 +336,26 @@
   BOOST_TEST((caller.state() == CallState::kAnswered));
 }
 
+// A caller may write any number of a copy into its SYN.
+BOOST_AUTO_TEST_CASE(SynWithAnyCopyNumberIsHandledAtOnce) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddSidecar(0, "vault");
+  sim.SetRoutes(1, "vault", kTarget);
+  sim.UpdateAllMembers();
+  Segment syn;
+  syn.flow = {{0x64400001, 1024}, {0xC6120001, 443}};
+  syn.syn = true;
+  syn.ack = UINT32_MAX;
+  const Bytes packet(34);
+  const auto start = std::chrono::steady_clock::now();
+  Outbox out;
+  sim.balancer(0).OnPacket(syn, packet, sim.now(), out);
+  const auto elapsed = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((elapsed < seconds(1)));
+  BOOST_TEST(out.effects().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(SynWithoutMembersIsRefusedAtOnce) {
   Simulation sim;
   sim.AddBalancer(0);
