--- /dev/null
+++ b/tests/platform/store_return_test.cc
@@ -0,0 +1,248 @@
+// Tests what happens when the store comes back from an older copy: revisions
+// and lease ids are assigned anew, and what was written since is gone.
+#define BOOST_TEST_MODULE platform_store_return
+#include <boost/test/unit_test.hpp>
+#include <utility>
+
+#include "platform/config_follower.h"
+#include "platform/registration.h"
+#include "platform/standins/store_standin.h"
+#include "tests/platform/loop_runner.h"
+
+namespace cowslip::platform_adapter::test {
+namespace {
+
+using standins::StoreFault;
+using standins::StoreStandin;
+using standins::StoreTable;
+using std::chrono::milliseconds;
+
+const Endpoint kStore{0x7f2a0107, 8169};  // 127.42.1.7
+const std::string kConfigKey = "op/config";
+constexpr std::uint32_t kFirstInstance = 0x0a000001;
+/// Time within which a configuration has to be in force.
+constexpr milliseconds kConfigDeadline{3000};
+/// Time within which lost entries have to be back.
+constexpr milliseconds kEntryDeadline{2000};
+/// Limit for steps that usually take a few milliseconds.
+constexpr milliseconds kShortTime{700};
+
+std::string Document(int version, const std::string& service = "vault") {
+  return R"({"version":)" + std::to_string(version) +
+         R"(,"routes":[{"host":"198.18.0.1","prefix":"/8443/","service":")" +
+         service + R"("}],"services":[],"limits":{}})";
+}
+
+std::string KeyOf(std::uint32_t address) {
+  auto text = ToString(Endpoint{address, 0});
+  return "cowslip/instances/" + text.substr(0, text.find(':'));
+}
+
+peers::PeerEntry MakeEntry(std::uint32_t address) {
+  peers::PeerEntry entry;
+  entry.address = address;
+  entry.incarnation = 5;
+  entry.service = "vault";
+  entry.accepts = true;
+  return entry;
+}
+
+/// A simulated store, and a client and follower connected to it.
+struct Fixture {
+  EventLoop loop;
+  std::unique_ptr<StoreStandin> store = Open();
+  StoreClient client{loop.base(), kStore};
+  std::function<void()> on_verified = [] {};
+  ConfigFollower follower{loop,
+                          client,
+                          milliseconds(1000),
+                          {[](auto) {}, [this] { on_verified(); }, [] {}}};
+
+  std::unique_ptr<StoreStandin> Open() {
+    LastReason<AdapterError> reason;
+    auto standin = StoreStandin::Listen(loop.base(), kStore, reason);
+    BOOST_REQUIRE_MESSAGE(standin != nullptr, reason.Message());
+    return standin;
+  }
+
+  bool HasVersion(std::uint64_t version, milliseconds limit) {
+    return RunUntil(loop, limit, [&] { return follower.version() == version; });
+  }
+
+  /// Makes the follower read version 1 and watch the store.
+  void StartWatching() {
+    store->Put(kConfigKey, Document(1));
+    follower.SetWatching(true);
+    BOOST_REQUIRE(HasVersion(1, kShortTime));
+    RunFor(loop, milliseconds(50));
+  }
+
+  std::unique_ptr<Registration> Register(std::uint32_t address) {
+    const auto entry = MakeEntry(address);
+    auto instance =
+        std::make_unique<Registration>(loop, client, entry, [](const auto&) {});
+    instance->Publish(entry);
+    BOOST_REQUIRE(RunUntil(loop, kShortTime, [&] { return Holds(address); }));
+    RunFor(loop, milliseconds(20));
+    return instance;
+  }
+
+  bool Holds(std::uint32_t address) {
+    return store->table().Find(KeyOf(address)).has_value();
+  }
+};
+
+}  // namespace
+
+// The first change after the return gets the revision that was lost.
+BOOST_FIXTURE_TEST_CASE(WatchDoesNotPassOverAChangeWithALostRevision, Fixture) {
+  StartWatching();
+  const auto copy = store->table();
+  store->Put("op/other", "lost");
+  // The watch now continues after the revision of that change.
+  RunFor(loop, milliseconds(1100));
+  store->Restore(copy);
+  // The change is made between the read after the return and the next watch.
+  on_verified = [this, changed = false]() mutable {
+    if (!std::exchange(changed, true)) store->Put(kConfigKey, Document(4));
+  };
+  BOOST_TEST(HasVersion(4, kConfigDeadline));
+}
+
+// A watch that is sent before the return and executed after it.
+BOOST_FIXTURE_TEST_CASE(DelayedWatchDoesNotPassOverAChange, Fixture) {
+  StartWatching();
+  const auto copy = store->table();
+  for (int i = 0; i < 3; ++i) store->Put("op/other", "lost");
+  RunFor(loop, milliseconds(1100));
+  bool restored = false;
+  store->SetOnCall([&](const std::string& path) {
+    if (restored || path != "/cowslippitch/kv-watch") return;
+    restored = true;
+    store->Restore(copy);
+    store->table().Put(kConfigKey, Document(4));
+    for (int i = 0; i < 5; ++i) store->table().Put("op/other", "again");
+  });
+  BOOST_REQUIRE(RunUntil(loop, milliseconds(1500), [&] { return restored; }));
+  BOOST_TEST(HasVersion(4, kConfigDeadline));
+}
+
+BOOST_FIXTURE_TEST_CASE(WatchGoesOnAtOnceAfterTheReturn, Fixture) {
+  StartWatching();
+  const auto copy = store->table();
+  for (int i = 0; i < 50; ++i) store->Put("op/other", "lost");
+  RunFor(loop, milliseconds(1100));
+  int refused_calls = 0;
+  store->Restore(copy);
+  store->SetOnCall([&](const std::string&) { ++refused_calls; });
+  RunFor(loop, milliseconds(900));
+  // One read and one watch, and one refused attempt at the most.
+  BOOST_TEST(refused_calls <= 4);
+  store->Put(kConfigKey, Document(4));
+  BOOST_TEST(HasVersion(4, milliseconds(100)));
+}
+
+BOOST_FIXTURE_TEST_CASE(RestoredVersionDoesNotReplaceANewerOne, Fixture) {
+  StartWatching();
+  const auto copy = store->table();
+  store->Put(kConfigKey, Document(4));
+  BOOST_REQUIRE(HasVersion(4, kShortTime));
+  store->Restore(copy);
+  RunFor(loop, milliseconds(1500));
+  BOOST_TEST(follower.version() == 4U);
+}
+
+// The operator takes the number of a lost version again.
+BOOST_FIXTURE_TEST_CASE(LostNumberWithOtherContentsIsInForce, Fixture) {
+  StartWatching();
+  const auto copy = store->table();
+  store->Put(kConfigKey, Document(4, "vault"));
+  BOOST_REQUIRE(HasVersion(4, kShortTime));
+  store->Restore(copy);
+  RunFor(loop, kShortTime);
+  const auto written = Document(4, "custody");
+  store->Put(kConfigKey, written);
+  BOOST_TEST(RunUntil(loop, kConfigDeadline,
+                      [&] { return follower.document() == written; }));
+}
+
+BOOST_FIXTURE_TEST_CASE(LostEntryIsBackWithinTwoSeconds, Fixture) {
+  const auto copy = store->table();
+  const auto instance = Register(kFirstInstance);
+  store->Restore(copy);
+  StartWatching();
+  BOOST_TEST(
+      RunUntil(loop, kEntryDeadline, [&] { return Holds(kFirstInstance); }));
+}
+
+// The entry was written under a lease that the copy has, but is not in it.
+BOOST_FIXTURE_TEST_CASE(EntryLostWithoutItsLeaseIsBackWithinTwoSeconds,
+                        Fixture) {
+  StoreTable copy = store->table();
+  store->SetOnCall([&](const std::string& path) {
+    if (path == "/cowslippitch/kv-txn") copy = store->table();
+  });
+  const auto instance = Register(kFirstInstance);
+  store->SetOnCall({});
+  BOOST_REQUIRE(copy.HasLease(instance->lease()));
+  store->Restore(copy);
+  StartWatching();
+  BOOST_TEST(
+      RunUntil(loop, kEntryDeadline, [&] { return Holds(kFirstInstance); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(EntryThatIsNotLostIsNotWrittenAgain, Fixture) {
+  const auto instance = Register(kFirstInstance);
+  const auto before = store->table().Find(KeyOf(kFirstInstance))->revision;
+  store->Restore(StoreTable(store->table()));
+  StartWatching();
+  RunFor(loop, kEntryDeadline);
+  BOOST_REQUIRE(Holds(kFirstInstance));
+  BOOST_TEST(store->table().Find(KeyOf(kFirstInstance))->revision == before);
+}
+
+// The lost id of the first instance's lease is given to the second one.
+BOOST_FIXTURE_TEST_CASE(PlannedStopDoesNotEndTheLeaseOfAnotherInstance,
+                        Fixture) {
+  const auto copy = store->table();
+  const auto first = Register(kFirstInstance);
+  store->Restore(copy);
+  const auto second = Register(kFirstInstance + 1);
+  first->Withdraw();
+  RunFor(loop, milliseconds(200));
+  BOOST_TEST(Holds(kFirstInstance + 1));
+}
+
+BOOST_FIXTURE_TEST_CASE(PlannedStopRemovesTheEntryAfterTheReturn, Fixture) {
+  const auto instance = Register(kFirstInstance);
+  store->Restore(StoreTable(store->table()));
+  StartWatching();
+  instance->Withdraw();
+  BOOST_TEST(RunUntil(loop, milliseconds(200),
+                      [&] { return !Holds(kFirstInstance); }));
+}
+
+// A process takes over the lease of its predecessor, whose id belongs to
+// another instance since the return.
+BOOST_FIXTURE_TEST_CASE(EntryIsNotLeftUnderTheLeaseOfAnotherInstance, Fixture) {
+  const auto copy = store->table();
+  const auto predecessor = Register(kFirstInstance);
+  auto former = MakeEntry(kFirstInstance);
+  former.lease = predecessor->lease();
+  store->Restore(copy);
+  const auto other = Register(kFirstInstance + 1);
+  BOOST_REQUIRE_EQUAL(other->lease(), former.lease);
+  auto entry = MakeEntry(kFirstInstance);
+  entry.incarnation = 6;
+  Registration successor(loop, client, entry, [](const auto&) {});
+  successor.Publish(entry);
+  successor.AdoptLease(former);
+  BOOST_REQUIRE(
+      RunUntil(loop, kShortTime, [&] { return Holds(kFirstInstance); }));
+  RunFor(loop, milliseconds(100));
+  other->Withdraw();
+  RunFor(loop, milliseconds(200));
+  BOOST_TEST(Holds(kFirstInstance));
+}
+
+}  // namespace cowslip::platform_adapter::test
