Positions in the store's history belong to an era

Cause: ConfigFollower watched after the highest revision that it had ever seen, but the store assigns revisions anew after it has come back from a copy. Until its counter had caught up, each watch got 410; from then on the watch was accepted and passed over every change with a revision up to the remembered one.

Change: StorePosition is era and revision, ordered by era first. A response of an era before the newest one fails as outdated. So a position of one era is never compared with one of another.

--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -195,4 +195,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LateResponseOfAnEarlierEraIsOlder) {
+  StoreEra era;
+  BOOST_TEST((era.Observe(3) == EraOrder::kCurrent));
+  BOOST_TEST((era.Observe(3) == EraOrder::kCurrent));
+  // The store may have come back twice while this process was suspended.
+  BOOST_TEST((era.Observe(5) == EraOrder::kNewer));
+  BOOST_TEST((era.Observe(3) == EraOrder::kOlder));
+  BOOST_TEST((era.Observe(4) == EraOrder::kOlder));
+  BOOST_TEST(era.current() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(PositionOfANewerEraIsLaterAtAnyRevision) {
+  const StorePosition before{1, 900};
+  BOOST_TEST((std::max(before, StorePosition{1, 899}) == before));
+  BOOST_TEST((std::max(before, StorePosition{2, 7}) == StorePosition{2, 7}));
+}
+
 }  // namespace cowslip::peers
