Entries and leases of the store belong to an era

In tests, the entry of an instance stayed away for up to 20 s after the store had come back from a copy, so a process that started read an incomplete list; a planned stop ended the lease of another instance and removed its entry; an entry was left under the lease of another instance and vanished with it.

Cause: the class is that of the watch position: an identifier that the store assigns is remembered and used in a later era, in which it is assigned again. Lease ids were renewed, adopted from predecessors and ended without a look at the era in which they were opened.

Change: a lease is an id and the era in which it is known to be held. Gossip messages carry the newest era, so all instances learn of a return within a second (sidecars called the store only every 20 s), and a predecessor's lease carries its era. Message fields are optional; builds before this one ignore them.

AllInstancesAreToldThatTheStoreHasReturned and LostEntryIsBackAfterAPeerHasSeenTheReturn test what is new.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -28,8 +28,9 @@
   std::vector<InstanceAddress> changed;
   /// Subset of `changed`: new instances and restarts.
   std::vector<InstanceAddress> started;
-  std::uint64_t config = 0;  ///< Configuration version of the sender.
-  bool watching = false;     ///< The sender watches the store.
+  std::uint64_t config = 0;     ///< Configuration version of the sender.
+  std::uint64_t store_era = 0;  ///< Newest era that the sender has seen.
+  bool watching = false;        ///< The sender watches the store.
   /// The sender asks to keep a copy of its configuration document.
   bool keep_document = false;
 };
@@ -75,8 +76,13 @@
   void SetSeeds(std::vector<InstanceAddress> seeds) {
     seeds_ = std::move(seeds);
   }
-  /// Sets the lease under which the store holds the own entry.
-  void SetLease(std::uint64_t lease) { self_.lease = lease; }
+  /// Sets the lease under which the store holds the own entry, and its era.
+  void SetLease(std::uint64_t lease, std::uint64_t era) {
+    self_.lease = lease;
+    self_.lease_era = era;
+  }
+  /// Sets the newest era of the store that this instance has seen.
+  void SetStoreEra(std::uint64_t era) { store_era_ = era; }
   /// Updates the own entry and publishes it if it has changed; id is the
   /// incarnation of the upstream.
   void SetOpen(bool on, std::uint64_t id, TimePoint now);
@@ -128,6 +134,9 @@
   void ForwardLater(InstanceAddress address);
   void ForwardChanges();
   void SendPredecessor(const PeerEntry& entry);
+  /// Tells an instance that has seen only earlier eras of the store of the
+  /// present one.
+  void SendStoreEra(const Message& from);
   Message MakeMessage(TimePoint now) const;
   void SendTable(InstanceAddress to, bool to_balancer);
   /// Sends entries within the budget.
@@ -166,6 +175,7 @@
   bool connected_ = false;  ///< A balancer has answered since the start.
   bool complete_ = false;
   bool watching_ = false;
+  std::uint64_t store_era_ = 0;
   std::uint64_t config_ = 0;
   std::uint64_t verified_config_ = 0;
   TimePoint verified_at_{};
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -21,6 +21,8 @@
   std::uint64_t verified_config = 0;
   std::chrono::milliseconds verified_age{};
   bool watching = false;  ///< The sender holds a watch on the store.
+  /// Newest era of the store that the sender has seen, 0 if none.
+  std::uint64_t store_era = 0;
   bool want_all = false;  ///< Hello message: the receiver is to send its table.
   /// PeerTable::Digest() of the sender, without sidecars if it is a sidecar.
   std::uint64_t digest = 0;
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -21,6 +21,8 @@
   std::uint64_t upstream = 0;
   /// Lease of the entry in the store, 0 if it is not known.
   std::uint64_t lease = 0;
+  /// Era of the store in which it has that lease.
+  std::uint64_t lease_era = 0;
   bool accepts =
       false;          ///< The upstream of the sidecar accepts new connections.
   bool left = false;  ///< The instance has stopped as planned.
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -38,6 +38,7 @@
   message.verified_age =
       std::chrono::duration_cast<std::chrono::milliseconds>(now - verified_at_);
   message.watching = watching_;
+  message.store_era = store_era_;
   message.digest = table_.Digest(!self_.balancer).total();
   message.complete = complete_;
   message.compares_ranges = true;
@@ -159,6 +160,7 @@
   if (message.sender == self_.address) return update;
   update.config = message.config;
   update.watching = message.watching;
+  update.store_era = message.store_era;
   update.keep_document = message.keep_document;
   if (message.balancer) connected_ = true;
   const auto verified = now - message.verified_age;
@@ -175,6 +177,7 @@
   }
   if (!message.ranges.empty()) CompareRanges(message);
   if (!self_.balancer) return update;
+  SendStoreEra(message);
   if (!message.wanted.empty()) SendRanges(message, message.wanted);
   // Equal digests: this table holds the same entries as the complete one.
   if (message.balancer && message.complete &&
@@ -286,6 +289,12 @@
   outgoing_.push_back({entry.address, std::move(message)});
 }
 
+void Gossip::SendStoreEra(const Message& from) {
+  const bool outdated = from.store_era != 0 && from.store_era < store_era_;
+  if (!outdated || !MayRepair()) return;
+  outgoing_.push_back({from.sender, MakeMessage(now_)});
+}
+
 void Gossip::SendTable(InstanceAddress to, bool to_balancer) {
   if (!MaySync(to)) return;
   std::vector<PeerEntry> entries;
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -26,6 +26,7 @@
   entry.no_upstream = raw.vacant();
   entry.upstream = raw.upstream();
   entry.lease = raw.lease();
+  entry.lease_era = raw.lease_era();
   return entry;
 }
 
@@ -68,7 +69,7 @@
     entries.push_back(wire::CreateEntryDirect(
         builder, entry.address, entry.balancer, entry.incarnation,
         entry.sequence, entry.service.c_str(), entry.accepts, entry.left,
-        entry.upstream, entry.lease, entry.no_upstream));
+        entry.upstream, entry.lease, entry.no_upstream, entry.lease_era));
   }
   std::vector<std::uint16_t> runs;
   std::vector<std::uint32_t> digests;
@@ -82,7 +83,7 @@
       message.watching, message.want_all, message.digest, &entries,
       message.complete, message.keep_document, message.compares_ranges,
       runs.empty() ? nullptr : &runs, digests.empty() ? nullptr : &digests,
-      message.wanted.empty() ? nullptr : &message.wanted));
+      message.wanted.empty() ? nullptr : &message.wanted, message.store_era));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -107,6 +108,7 @@
   message.verified_config = raw->verified_config();
   message.verified_age = std::chrono::milliseconds(raw->verified_age_ms());
   message.watching = raw->watching();
+  message.store_era = raw->store_era();
   message.want_all = raw->want_all();
   message.digest = raw->digest();
   message.complete = raw->complete();
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -195,6 +195,27 @@
   }
 }
 
+// An instance calls the store only every 20 s; lost entries have to be back two
+// seconds after the store.
+BOOST_AUTO_TEST_CASE(AllInstancesAreToldThatTheStoreHasReturned) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    AddInstances(fleet, 6, 20);
+    for (const auto& [address, gossip] : fleet.instances()) {
+      fleet.SetStoreEra(address, 1);
+    }
+    fleet.Run(seconds(2));
+    fleet.SetLoss(0.1);
+    // A sidecar may be the first to see it.
+    fleet.SetStoreEra(seed % 2 == 0 ? 3 : 107, 2);
+    fleet.Run(milliseconds(1500));
+    for (const auto& [address, gossip] : fleet.instances()) {
+      BOOST_TEST(fleet.StoreEraAt(address) == 2U,
+                 "seed " << seed << " instance " << address);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LateResponseOfAnEarlierEraIsOlder) {
   StoreEra era;
   BOOST_TEST((era.Observe(3) == EraOrder::kCurrent));
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -184,7 +184,7 @@
   });
   const auto instance = Register(kFirstInstance);
   store->SetOnCall({});
-  BOOST_REQUIRE(copy.HasLease(instance->lease()));
+  BOOST_REQUIRE(copy.HasLease(instance->lease().id));
   store->Restore(copy);
   StartWatching();
   BOOST_TEST(
@@ -222,16 +222,41 @@
                       [&] { return !Holds(kFirstInstance); }));
 }
 
+// The call of the planned stop takes effect only after the return.
+BOOST_FIXTURE_TEST_CASE(DelayedPlannedStopDoesNotEndTheLeaseOfAnotherInstance,
+                        Fixture) {
+  const auto copy = store->table();
+  const auto first = Register(kFirstInstance);
+  store->SetFault(StoreFault::kExecuteLate);
+  first->Withdraw();
+  RunFor(loop, milliseconds(100));
+  store->SetFault(StoreFault::kNone);
+  store->Restore(copy);
+  const auto second = Register(kFirstInstance + 1);
+  RunFor(loop, StoreStandin::kExecutionDelay + milliseconds(200));
+  BOOST_TEST(Holds(kFirstInstance + 1));
+}
+
+BOOST_FIXTURE_TEST_CASE(LostEntryIsBackAfterAPeerHasSeenTheReturn, Fixture) {
+  const auto copy = store->table();
+  const auto instance = Register(kFirstInstance);
+  store->Restore(copy);
+  instance->OnReturnReported();
+  BOOST_TEST(
+      RunUntil(loop, kEntryDeadline, [&] { return Holds(kFirstInstance); }));
+}
+
 // A process takes over the lease of its predecessor, whose id belongs to
 // another instance since the return.
 BOOST_FIXTURE_TEST_CASE(EntryIsNotLeftUnderTheLeaseOfAnotherInstance, Fixture) {
   const auto copy = store->table();
   const auto predecessor = Register(kFirstInstance);
   auto former = MakeEntry(kFirstInstance);
-  former.lease = predecessor->lease();
+  former.lease = predecessor->lease().id;
+  former.lease_era = predecessor->lease().era;
   store->Restore(copy);
   const auto other = Register(kFirstInstance + 1);
-  BOOST_REQUIRE_EQUAL(other->lease(), former.lease);
+  BOOST_REQUIRE_EQUAL(other->lease().id, former.lease);
   auto entry = MakeEntry(kFirstInstance);
   entry.incarnation = 6;
   Registration successor(loop, client, entry, [](const auto&) {});
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -55,6 +55,15 @@
   void Mute(InstanceAddress address) { mute_ = address; }
   /// Makes all instances behave as builds that exchange whole tables only.
   void ExchangeWholeTables() { whole_tables_ = true; }
+  /// Sets the newest era of the store that an instance has seen. Instances that
+  /// are told of a newer one see it at once.
+  void SetStoreEra(InstanceAddress address, std::uint64_t era) {
+    store_eras_[address] = era;
+    At(address).SetStoreEra(era);
+  }
+  std::uint64_t StoreEraAt(InstanceAddress address) {
+    return store_eras_[address];
+  }
   TimePoint now() const { return now_; }
   std::uint64_t bytes() const { return bytes_; }
   /// @return most bytes that one instance sent in one step.
@@ -85,7 +94,9 @@
       if (target == instances_.end() || lost || from == mute_) continue;
       const auto message = Decode(datagram);
       BOOST_REQUIRE(message.has_value());
-      target->second->OnMessage(*message, now_);
+      const auto update = target->second->OnMessage(*message, now_);
+      auto& era = store_eras_[out.to];
+      if (update.store_era > era) SetStoreEra(out.to, update.store_era);
     }
   }
 
@@ -98,6 +109,7 @@
   std::uint64_t bytes_ = 0;
   std::uint64_t largest_burst_ = 0;
   std::map<InstanceAddress, std::uint64_t> burst_;
+  std::map<InstanceAddress, std::uint64_t> store_eras_;
 };
 
 /// Adds balancers with addresses from 1 and sidecars with addresses from
