A configuration is identified by number, era and digest

In the test, after operators had given the number of a lost version to other contents, all instances kept the lost contents for as long as they ran: a confirmed change that was never in force.

Cause: versions were ordered by their number alone, also between balancers and in the copies beside the upstreams, and equal numbers counted as equal documents. That holds only while the store keeps what it has acknowledged.

Change: ConfigVersion is number, newest era in which the store is known to have held the document, and digest. A higher number replaces a lower one in any era: a restored, older version never replaces the one in force, since operators write again what was lost. Of two documents with one number that of the later era replaces the other, and the same document in a later era only takes over the era. Gossip, balancers and copies use the same order; a fetched document gets the announced era only if its digest is the announced one, and a late response of an earlier era can't undo anything. The new message fields are optional: builds before this one send none, and are then compared by number.

ReassignedNumberReplacesTheLostVersionEverywhere is the same in virtual time with gossip and copies. CopyIsGivenOutAfterTheStoreHasLostANewerVersion: a copy that was withheld because of a version that is lost stayed unusable until the numbers had passed it.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -28,7 +28,7 @@
   std::vector<InstanceAddress> changed;
   /// Subset of `changed`: new instances and restarts.
   std::vector<InstanceAddress> started;
-  std::uint64_t config = 0;     ///< Configuration version of the sender.
+  ConfigVersion config;         ///< Configuration in force at the sender.
   std::uint64_t store_era = 0;  ///< Newest era that the sender has seen.
   bool watching = false;        ///< The sender watches the store.
   /// The sender asks to keep a copy of its configuration document.
@@ -91,8 +91,8 @@
   /// Publishes that this instance is stopping as planned.
   void Leave(TimePoint now);
   /// Sets the configuration version and the watcher flag sent in messages.
-  void SetConfig(std::uint64_t config, bool watching);
-  /// Records that `config` was the newest version in the store at `now`.
+  void SetConfig(const ConfigVersion& config, bool watching);
+  /// Records that `config` was the newest number in the store at `now`.
   void OnStoreVersion(std::uint64_t config, TimePoint now);
   /// Merges the entries that the store holds; the table is complete afterwards.
   MembershipUpdate OnStoreSnapshot(std::span<const PeerEntry> entries,
@@ -123,7 +123,7 @@
   /// @return whether the table holds all entries of the store, as read by this
   /// instance or by one with an equal table.
   bool complete() const { return complete_; }
-  /// @return the newest configuration version known to be in the store.
+  /// @return the newest configuration number known to be in the store.
   std::uint64_t verified_config() const { return verified_config_; }
   /// @return time since any balancer last received a response of the store.
   Duration VerifiedAge(TimePoint now) const { return now - verified_at_; }
@@ -176,7 +176,7 @@
   bool complete_ = false;
   bool watching_ = false;
   std::uint64_t store_era_ = 0;
-  std::uint64_t config_ = 0;
+  ConfigVersion config_;
   std::uint64_t verified_config_ = 0;
   TimePoint verified_at_{};
   TimePoint now_{};
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cowslip/base.h"
+#include "cowslip/peers/config_version.h"
 #include "cowslip/peers/peer_entry.h"
 #include "cowslip/peers/table_digest.h"
 
@@ -14,9 +15,9 @@
 /// Datagram between two instances: heartbeat, published entries, or both.
 struct Message {
   InstanceAddress sender = 0;
-  bool balancer = false;     ///< Whether the sender is a balancer.
-  std::uint64_t config = 0;  ///< Configuration version in force at the sender.
-  /// Newest configuration version in the store, as some instance read it
+  bool balancer = false;  ///< Whether the sender is a balancer.
+  ConfigVersion config;   ///< Configuration in force at the sender.
+  /// Newest configuration number in the store, as some instance read it
   /// `verified_age` ago.
   std::uint64_t verified_config = 0;
   std::chrono::milliseconds verified_age{};
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -118,7 +118,7 @@
   PublishSelf();
 }
 
-void Gossip::SetConfig(std::uint64_t config, bool watching) {
+void Gossip::SetConfig(const ConfigVersion& config, bool watching) {
   config_ = config;
   watching_ = watching;
 }
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -78,12 +78,13 @@
     digests.insert(digests.end(), run.digests.begin(), run.digests.end());
   }
   builder.Finish(wire::CreateMessageDirect(
-      builder, message.sender, message.balancer, message.config,
+      builder, message.sender, message.balancer, message.config.number,
       message.verified_config, ToMilliseconds(message.verified_age),
       message.watching, message.want_all, message.digest, &entries,
       message.complete, message.keep_document, message.compares_ranges,
       runs.empty() ? nullptr : &runs, digests.empty() ? nullptr : &digests,
-      message.wanted.empty() ? nullptr : &message.wanted, message.store_era));
+      message.wanted.empty() ? nullptr : &message.wanted, message.store_era,
+      message.config.era, message.config.digest));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -104,7 +105,7 @@
   Message message;
   message.sender = raw->sender();
   message.balancer = raw->balancer();
-  message.config = raw->config();
+  message.config = {raw->config(), raw->config_era(), raw->config_digest()};
   message.verified_config = raw->verified_config();
   message.verified_age = std::chrono::milliseconds(raw->verified_age_ms());
   message.watching = raw->watching();
--- a/tests/document_test.cc
+++ b/tests/document_test.cc
@@ -35,8 +35,13 @@
   return table;
 }
 
+ConfigVersion Version(std::uint64_t number, const std::string& text,
+                      std::uint64_t era = 1) {
+  return {number, era, DocumentDigest(text)};
+}
+
 /// A site whose balancers and sidecars exchange gossip and documents in virtual
-/// time, without a store. A document is represented by its version.
+/// time, without a store.
 class Site {
  public:
   Site(int balancers, int sidecars) : balancers_(balancers) {
@@ -46,7 +51,10 @@
   }
 
   /// A balancer reads a version from the store and watches it.
-  void Publish(InstanceAddress balancer, std::uint64_t version) {
+  void Publish(InstanceAddress balancer, std::uint64_t number,
+               const std::string& text, std::uint64_t era = 1) {
+    const auto version = Version(number, text, era);
+    texts_[version.digest] = text;
     auto& host = hosts_.at(balancer);
     host.version = version;
     host.gossip->SetConfig(version, true);
@@ -82,7 +90,7 @@
   }
 
   /// @return balancers that have a version in force.
-  int BalancersWith(std::uint64_t version) const {
+  int BalancersWith(const ConfigVersion& version) const {
     return static_cast<int>(
         std::count_if(hosts_.begin(), hosts_.end(), [&](const auto& each) {
           return each.first < kFirstSidecar && each.second.version == version;
@@ -91,7 +99,7 @@
   std::vector<InstanceAddress> Holders() const {
     std::vector<InstanceAddress> holders;
     for (const auto& [address, host] : hosts_) {
-      if (host.document.version() != 0) holders.push_back(address);
+      if (host.document.version().number != 0) holders.push_back(address);
     }
     return holders;
   }
@@ -102,8 +110,8 @@
  private:
   struct Host {
     std::unique_ptr<Gossip> gossip;
-    std::uint64_t version = 0;  ///< In force at a balancer.
-    HeldDocument document;      ///< Copy of a sidecar.
+    ConfigVersion version;  ///< In force at a balancer.
+    HeldDocument document;  ///< Copy of a sidecar.
     TimePoint next_tick{};
   };
   struct Event {
@@ -138,7 +146,7 @@
     const auto update = host.gossip->OnMessage(outgoing.message, now_);
     const auto from = outgoing.message.sender;
     if (outgoing.to < kFirstSidecar) {
-      if (update.config > host.version) Fetch(outgoing.to, from);
+      if (update.config.Replaces(host.version)) Fetch(outgoing.to, from);
     } else if (update.keep_document &&
                host.document.OnAnnounced(update.config)) {
       Fetch(outgoing.to, from);
@@ -159,13 +167,15 @@
     });
   }
 
-  void Receive(Host& host, InstanceAddress address, std::uint64_t version) {
+  void Receive(Host& host, InstanceAddress address,
+               const ConfigVersion& version) {
     if (address >= kFirstSidecar) {
-      host.document.OnFetched(version, std::to_string(version));
+      if (version.number == 0) return host.document.OnFetchFailed();
+      host.document.OnFetched(version.number, texts_.at(version.digest));
       host.gossip->SetConfig(host.document.version(), false);
       return;
     }
-    if (version <= host.version) return;
+    if (!version.Replaces(host.version)) return;
     host.version = version;
     host.gossip->SetConfig(version, false);
     host.gossip->Broadcast();
@@ -173,6 +183,7 @@
 
   int balancers_;
   std::uint64_t incarnation_ = 1;
+  std::map<std::uint64_t, std::string> texts_;  ///< Documents by digest.
   std::map<InstanceAddress, Host> hosts_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   TimePoint now_{seconds(100)};
@@ -198,45 +209,100 @@
   for (const auto& [balancers, sidecars] :
        {std::pair{6, 11}, std::pair{20, 54}, std::pair{91, 204}}) {
     Site site(balancers, sidecars);
-    site.Publish(1, 5);
+    site.Publish(1, 5, "five");
     site.Run(seconds(1));
     BOOST_TEST(site.Holders().size() == std::min<std::size_t>(8, sidecars));
     site.RestartBalancers();
     site.Run(milliseconds(200));
-    BOOST_TEST(site.BalancersWith(5) == balancers,
-               balancers << " balancers: " << site.BalancersWith(5));
+    BOOST_TEST(
+        site.BalancersWith(Version(5, "five")) == balancers,
+        balancers << " balancers: " << site.BalancersWith(Version(5, "five")));
   }
 }
 
 BOOST_AUTO_TEST_CASE(DocumentOutlivesAllButOneHolder) {
   Site site(6, 40);
-  site.Publish(1, 5);
+  site.Publish(1, 5, "five");
   site.Run(seconds(1));
   const auto holders = site.Holders();
   for (std::size_t i = 1; i < holders.size(); ++i) site.Stop(holders[i]);
   site.RestartBalancers();
   site.Run(seconds(2));
-  BOOST_TEST(site.BalancersWith(5) == 6);
+  BOOST_TEST(site.BalancersWith(Version(5, "five")) == 6);
 }
 
 // A holder that was paused has an old copy and learns from frames that another
 // version is in use.
 BOOST_AUTO_TEST_CASE(OutdatedCopyIsNotGivenOut) {
   HeldDocument document;
-  BOOST_TEST(document.OnAnnounced(5));
-  BOOST_TEST(!document.OnAnnounced(5));
+  BOOST_TEST(document.OnAnnounced({.number = 5}));
+  BOOST_TEST(!document.OnAnnounced({.number = 5}));
   document.OnFetched(5, "five");
-  BOOST_TEST(document.version() == 5U);
+  BOOST_TEST(document.version().number == 5U);
   document.OnVersionInUse(6);
-  BOOST_TEST(document.version() == 0U);
+  BOOST_TEST(document.version().number == 0U);
   BOOST_TEST(document.document().empty());
-  BOOST_TEST(document.OnAnnounced(6));
+  BOOST_TEST(document.OnAnnounced({.number = 6}));
   document.OnFetchFailed();
-  BOOST_TEST(document.OnAnnounced(6));
+  BOOST_TEST(document.OnAnnounced({.number = 6}));
   document.OnFetched(6, "six");
   BOOST_TEST(document.document() == "six");
 }
 
+// The store loses a version and operators give its number to other contents.
+BOOST_AUTO_TEST_CASE(ReassignedNumberReplacesTheLostVersionEverywhere) {
+  Site site(6, 20);
+  site.Publish(1, 12, "lost");
+  site.Run(seconds(1));
+  BOOST_REQUIRE(site.BalancersWith(Version(12, "lost")) == 6);
+  site.Publish(2, 12, "written again", 2);
+  site.Run(seconds(1));
+  BOOST_TEST(site.BalancersWith(Version(12, "written again", 2)) == 6);
+  for (const auto holder : site.Holders()) {
+    BOOST_TEST(site.Document(holder).document() == "written again");
+  }
+}
+
+// All balancers are killed between the return of the store and the second
+// writing of the version that it has lost.
+BOOST_AUTO_TEST_CASE(RestartedBalancersReceiveAVersionThatTheStoreHasLost) {
+  Site site(6, 20);
+  site.Publish(1, 12, "lost");
+  site.Run(seconds(1));
+  site.RestartBalancers();
+  for (int i = 1; i <= 6; ++i) site.Publish(i, 6, "restored", 2);
+  site.Run(seconds(1));
+  BOOST_TEST(site.BalancersWith(Version(12, "lost")) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(SameDocumentInALaterEraIsNotFetchedAgain) {
+  HeldDocument document;
+  BOOST_TEST(document.OnAnnounced(Version(12, "twelve")));
+  document.OnFetched(12, "twelve");
+  BOOST_TEST(!document.OnAnnounced(Version(12, "twelve", 2)));
+  BOOST_TEST((document.version() == Version(12, "twelve", 2)));
+}
+
+// A response that was sent before the store came back arrives late.
+BOOST_AUTO_TEST_CASE(LostVersionDoesNotReplaceTheOneWrittenAgain) {
+  BOOST_TEST(!Version(12, "lost", 1).Replaces(Version(12, "again", 2)));
+  BOOST_TEST(!Version(12, "lost", 0).Replaces(Version(12, "again", 2)));
+  BOOST_TEST(!Version(6, "restored", 2).Replaces(Version(12, "lost", 1)));
+}
+
+// No balancer has the newest version any more that a holder has seen in use.
+BOOST_AUTO_TEST_CASE(CopyIsGivenOutAfterTheStoreHasLostANewerVersion) {
+  HeldDocument document;
+  document.OnAnnounced({.number = 5});
+  document.OnFetched(5, "five");
+  document.OnVersionInUse(6);
+  BOOST_TEST(document.document().empty());
+  document.OnStoreReturned();
+  BOOST_TEST(document.document() == "five");
+  document.OnVersionInUse(6);
+  BOOST_TEST(document.document().empty());
+}
+
 BOOST_AUTO_TEST_CASE(NoSequenceOfEventsGivesOutAnOldVersion) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     std::mt19937_64 random(seed);
@@ -246,7 +312,7 @@
       const std::uint64_t version = 1 + random() % 10;
       switch (random() % 4) {
         case 0:
-          document.OnAnnounced(version);
+          document.OnAnnounced({.number = version});
           newest = std::max(newest, version);
           break;
         case 1:
@@ -260,8 +326,8 @@
         default:
           document.OnFetchFailed();
       }
-      const bool usable = document.version() != 0;
-      BOOST_REQUIRE(!usable || document.version() == newest);
+      const bool usable = document.version().number != 0;
+      BOOST_REQUIRE(!usable || document.version().number == newest);
       BOOST_REQUIRE(document.document() ==
                     (usable ? std::to_string(newest) : ""));
     }
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -54,7 +54,8 @@
   }
 
   bool HasVersion(std::uint64_t version, milliseconds limit) {
-    return RunUntil(loop, limit, [&] { return follower.version() == version; });
+    return RunUntil(loop, limit,
+                    [&] { return follower.version().number == version; });
   }
 
   /// Makes the follower read version 1 and watch the store.
@@ -192,10 +193,10 @@
   BOOST_REQUIRE(HasVersion(9, kShortTime));
   store->Put(kConfigKey, Document(8));
   RunFor(loop, milliseconds(100));
-  BOOST_TEST(follower.version() == 9U);
-  follower.FetchFromPeer(kUnusedAddress, 7);
+  BOOST_TEST(follower.version().number == 9U);
+  follower.OnAnnounced(kUnusedAddress, {.number = 7});
   RunFor(loop, milliseconds(100));
-  BOOST_TEST(follower.version() == 9U);
+  BOOST_TEST(follower.version().number == 9U);
 }
 
 BOOST_FIXTURE_TEST_CASE(InvalidDocumentsInTheStoreAreIgnored, Fixture) {
@@ -205,7 +206,7 @@
         R"({"version":7,"routes":[{"host":"nowhere","prefix":"/1/"}]})"}) {
     store->Put(kConfigKey, invalid);
     RunFor(loop, milliseconds(20));
-    BOOST_TEST(follower.version() == 1U);
+    BOOST_TEST(follower.version().number == 1U);
   }
   store->Put(kConfigKey, Document(8));
   BOOST_TEST(HasVersion(8, kShortTime));
@@ -216,7 +217,7 @@
   follower.Start();
   BOOST_REQUIRE(HasVersion(1, kShortTime));
   store->Put(kConfigKey, Document(2));
-  follower.FetchFromPeer(kUnusedAddress, 2);
+  follower.OnAnnounced(kUnusedAddress, {.number = 2});
   BOOST_TEST(HasVersion(2, kConfigDeadline));
 }
 
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -66,7 +66,8 @@
   }
 
   bool HasVersion(std::uint64_t version, milliseconds limit) {
-    return RunUntil(loop, limit, [&] { return follower.version() == version; });
+    return RunUntil(loop, limit,
+                    [&] { return follower.version().number == version; });
   }
 
   /// Makes the follower read version 1 and watch the store.
@@ -149,7 +150,7 @@
   BOOST_REQUIRE(HasVersion(4, kShortTime));
   store->Restore(copy);
   RunFor(loop, milliseconds(1500));
-  BOOST_TEST(follower.version() == 4U);
+  BOOST_TEST(follower.version().number == 4U);
 }
 
 // The operator takes the number of a lost version again.
