Sidecars accept SYNs with the version that the store has kept

In the test, all of 10 new callers got no connection, and would have got none until operators had written the lost version again: a route that exists in the store and in force was not served.

Cause: a sidecar passes on the SYNs of balancers whose version is older than the newest it has ever seen. If the store loses that version and every balancer that had it is gone, no balancer can have it, so every one counts as outdated.

Change: after a return of the store, the newest version counts only once some balancer is seen to use it again.

--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -65,6 +65,10 @@
   void SetHasPredecessor(bool has_predecessor) {
     has_predecessor_ = has_predecessor;
   }
+  /// The store has come back from an older copy: the newest configuration seen
+  /// may be lost. Balancers with an older one count as outdated only once some
+  /// balancer is seen to use it again.
+  void OnStoreReturned() { newest_config_in_use_ = false; }
   /// Stops accepting new connections, as the instance is stopping.
   void StopAccepting() { stopping_ = true; }
 
@@ -134,6 +138,9 @@
   bool has_predecessor_ = true;
   std::uint64_t newest_config_ = 0;
   TimePoint config_received_{};
+  /// Some balancer has used the newest configuration since the store last came
+  /// back from a copy.
+  bool newest_config_in_use_ = false;
   UpstreamStateTracker upstream_state_;
   UpstreamLivenessTimer liveness_;
   LoadEstimator load_;
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -31,13 +31,14 @@
     : self_(self), service_(service), observer_(&observer), started_(started) {}
 
 void Sidecar::UpdateConfigVersion(std::uint64_t config, TimePoint now) {
+  if (config >= newest_config_) newest_config_in_use_ = true;
   if (config <= newest_config_) return;
   newest_config_ = config;
   config_received_ = now;
 }
 
 bool Sidecar::IsStale(const SegmentFrame& frame, TimePoint now) const {
-  return frame.config < newest_config_ &&
+  return newest_config_in_use_ && frame.config < newest_config_ &&
          now - config_received_ > kMaxConfigLag;
 }
 
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -164,6 +164,30 @@
   BOOST_TEST(sim.wrong_resets() == 0);
 }
 
+// The store has lost the newest version, and all balancers that had it are
+// gone. Until operators write it again, no balancer can have it.
+BOOST_AUTO_TEST_CASE(SynsAreAcceptedWithTheVersionThatTheStoreHasKept) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  AddService(sim, 4);
+  sim.SetRoutes(12, "vault");
+  OpenCallers(sim, 10, milliseconds(10));
+  sim.Run(seconds(2));
+  for (int i = 0; i < 4; ++i) sim.sidecar(i).OnStoreReturned();
+  sim.SetRoutes(6, "vault");
+  OpenCallers(sim, 10, milliseconds(10));
+  sim.Run(seconds(1));
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
+  // Operators have written it again: without it, a balancer is outdated.
+  sim.SetRoutes(12, "vault");
+  OpenCallers(sim, 40, milliseconds(10));
+  sim.Run(seconds(2));
+  sim.SetRoutes(6, "vault");
+  OpenCallers(sim, 10, milliseconds(10));
+  sim.Run(seconds(1));
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 60);
+}
+
 // All machines lose power: callers get a reset within milliseconds instead of
 // waiting for their deadlines.
 BOOST_AUTO_TEST_CASE(LostFlowsAreReset) {
