--- a/packages/base/include/cowslip/base.h
+++ b/packages/base/include/cowslip/base.h
@@ -12,5 +12,6 @@
 #include "cowslip/base/ids.h"                // IWYU pragma: export
 #include "cowslip/base/last_reason.h"        // IWYU pragma: export
 #include "cowslip/base/latency_histogram.h"  // IWYU pragma: export
+#include "cowslip/base/store_position.h"     // IWYU pragma: export
 #include "cowslip/base/token_bucket.h"       // IWYU pragma: export
 #include "cowslip/base/upstream.h"           // IWYU pragma: export
--- a/packages/peers/include/cowslip/peers/store_position.h
+++ b/packages/base/include/cowslip/base/store_position.h
@@ -3,7 +3,7 @@
 #include <compare>
 #include <cstdint>
 
-namespace cowslip::peers {
+namespace cowslip {
 
 /// A point in the history of the store. Revisions are comparable only within
 /// one era: the store assigns them again after it has come back from a copy.
@@ -14,4 +14,4 @@
   auto operator<=>(const StorePosition&) const = default;
 };
 
-}  // namespace cowslip::peers
+}  // namespace cowslip
--- a/packages/peers/include/cowslip/peers.h
+++ b/packages/peers/include/cowslip/peers.h
@@ -12,5 +12,4 @@
 #include "cowslip/peers/peer_entry.h"        // IWYU pragma: export
 #include "cowslip/peers/peer_table.h"        // IWYU pragma: export
 #include "cowslip/peers/store_era.h"         // IWYU pragma: export
-#include "cowslip/peers/store_position.h"    // IWYU pragma: export
 #include "cowslip/peers/watch_duty.h"        // IWYU pragma: export
