cowslipd: entries of the store belong to an era

In the simulation, every process kept an entry that the store had lost and ignored what was written again, until the store's index had passed that of the lost one.

The replica of the store orders entries by their modification index, which a store that comes back from an older copy assigns anew. The watch already started over when the index decreased, but the replicas, the streams between the processes and the view builder's cache did not.

Change: positions are era and index, as for the platform's store. Consul's API tells no era, so the processes count: a process that reads a listing which contradicts what it holds of the present era begins the next (ReturnDetector), and the others take the era over with the entries. A listing that may only have been overtaken by newer entries from other processes is read again at once. Messages carry the era in an optional field; builds before this one count as era 0.

--- a/benchmarks/control_benchmark.cc
+++ b/benchmarks/control_benchmark.cc
@@ -74,7 +74,7 @@
   state.counters["bytes_per_member"] =
       static_cast<double>(mallinfo2().uordblks - before) / members;
   while (state.KeepRunning()) {
-    ++items.begin()->second.index;
+    ++items.begin()->second.position.revision;
     control.UpdateItems(items, {}, TimePoint{});
     view = control.BuildView(log.state());
   }
--- a/packages/daemon/include/cowslip/daemon/view_builder.h
+++ b/packages/daemon/include/cowslip/daemon/view_builder.h
@@ -29,7 +29,7 @@
 
  private:
   struct CachedAnnouncement {
-    std::uint64_t index = 0;  ///< Modify index of the store.
+    StorePosition position;
     /// Empty if the item was deleted or can't be decoded.
     std::optional<membership::Announcement> announcement;
   };
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -139,6 +139,7 @@
   auto& effects = transport_->effects();
   if (effects.store.start_watch) store_watch_->SetEnabled(true);
   if (effects.store.stop_watch) store_watch_->SetEnabled(false);
+  if (effects.store.read_again) store_watch_->ReadAgain();
   if (effects.store.read_peers) store_requests_->RequestPeers();
   if (effects.store.read_tickets) store_requests_->RequestTickets();
   LogEffects();
@@ -148,6 +149,7 @@
   effects.in_force.clear();
   effects.rejected.clear();
   effects.entries_changed = false;
+  effects.store_returned = false;
   // Updates go to peers before this process spends time on its own view.
   transport_->ApplyEffects();
   if (changed) Publish();
@@ -163,6 +165,10 @@
     Log(LogLevel::kError, "ticket_refused",
         {{"ticket", Raw(refused.number)}, {"reason", refused.reason}});
   }
+  if (effects.store_returned) {
+    Log(LogLevel::kWarn, "store_returned",
+        {{"era", transport_->node().items().position().era}});
+  }
   if (effects.store.start_watch) Log(LogLevel::kInfo, "store_watch_started");
   if (effects.store.stop_watch) Log(LogLevel::kInfo, "store_watch_ended");
 }
--- a/packages/daemon/src/store_listing.cc
+++ b/packages/daemon/src/store_listing.cc
@@ -28,7 +28,8 @@
     } else if (const auto number = ticket::ParseTicketKey(entry.key)) {
       listing.tickets.push_back({*number, false, entry.value});
     } else {
-      listing.items.push_back({entry.key, entry.value, entry.modify_index});
+      listing.items.push_back(
+          {entry.key, entry.value, {0, entry.modify_index}});
     }
   }
   std::sort(listing.tickets.begin(), listing.tickets.end(),
--- a/packages/daemon/src/store_watch.cc
+++ b/packages/daemon/src/store_watch.cc
@@ -1,5 +1,7 @@
 #include "store_watch.h"
 
+#include <utility>
+
 #include "store_listing.h"
 
 namespace cowslip::daemon {
@@ -40,12 +42,18 @@
   changed_.notify_all();
 }
 
+void StoreWatch::ReadAgain() {
+  const std::lock_guard lock(mutex_);
+  read_again_ = true;
+  client_.Cancel();
+}
+
 void StoreWatch::Run() {
   std::uint64_t index = 0;
   while (true) {
     {
       std::unique_lock lock(mutex_);
-      if (!enabled_) index = 0;
+      if (!enabled_ || std::exchange(read_again_, false)) index = 0;
       changed_.wait(lock, [this] { return enabled_ || stopping_; });
       if (stopping_) return;
       client_.Resume();
--- a/packages/daemon/src/store_watch.h
+++ b/packages/daemon/src/store_watch.h
@@ -21,6 +21,9 @@
 
   /// Enables or disables the watch. Callable from any thread.
   void SetEnabled(bool enabled);
+  /// Ends the request in progress and reads all keys at once. Callable from any
+  /// thread.
+  void ReadAgain();
   /// @return whether the store answered the last request.
   bool reachable() const { return reachable_; }
   /// @return requests to the store and bytes exchanged with it so far.
@@ -39,6 +42,7 @@
   std::condition_variable changed_;
   bool enabled_ = false;
   bool stopping_ = false;
+  bool read_again_ = false;
   std::atomic<bool> reachable_{false};
   std::atomic<std::uint64_t> calls_{0};
   std::atomic<std::uint64_t> bytes_{0};
--- a/packages/daemon/src/view_builder.cc
+++ b/packages/daemon/src/view_builder.cc
@@ -29,8 +29,8 @@
   for (const auto& [key, item] : items) {
     if (!key.starts_with(membership::AnnouncementPrefix())) continue;
     auto& cached = announcements_[key];
-    if (cached.index == item.index) continue;
-    cached = {item.index, DecodeItem(item, wall_now, now)};
+    if (cached.position == item.position) continue;
+    cached = {item.position, DecodeItem(item, wall_now, now)};
   }
 }
 
--- a/packages/relay/include/cowslip/relay/effects.h
+++ b/packages/relay/include/cowslip/relay/effects.h
@@ -43,6 +43,8 @@
   /// Watch all keys; every result goes to Node::OnListing().
   bool start_watch = false;
   bool stop_watch = false;
+  /// Read all keys again at once, as if the watch had just started.
+  bool read_again = false;
   /// List the data centre's instance records, for Node::OnPeersRead().
   bool read_peers = false;
   /// List the tickets once, for Node::OnListing().
@@ -59,6 +61,8 @@
   std::vector<RejectedTicket> rejected;
   std::vector<TicketNumber> in_force;  ///< Tickets that were applied.
   bool entries_changed = false;        ///< The StoreReplica has changed.
+  /// The store has come back from an older copy. For the log only.
+  bool store_returned = false;
 
   /// Adds a message to a stream. @param message an alternative of Message.
   template <typename Typed>
--- a/packages/relay/include/cowslip/relay/item.h
+++ b/packages/relay/include/cowslip/relay/item.h
@@ -12,8 +12,10 @@
 /// tickets: instance records and announcements.
 struct StoreEntry {
   std::string key;
-  std::string value;        ///< Empty if the key was deleted.
-  std::uint64_t index = 0;  ///< Modification index of the write.
+  std::string value;  ///< Empty if the key was deleted.
+  /// Modification index of the write, and the era of the store, see
+  /// ReturnDetector.
+  StorePosition position;
 
   bool operator==(const StoreEntry&) const = default;
 };
--- a/packages/relay/include/cowslip/relay/message.h
+++ b/packages/relay/include/cowslip/relay/message.h
@@ -23,8 +23,8 @@
 /// the state it has, and the entries it wants to receive.
 struct Hello {
   Peer self;
-  TicketNumber ticket{};    ///< In force at the sender.
-  std::uint64_t index = 0;  ///< StoreReplica::index() of the sender.
+  TicketNumber ticket{};   ///< In force at the sender.
+  StorePosition position;  ///< StoreReplica::position() of the sender.
   Subscription interest;
   StoreDistance store_distance =
       kNoStorePath;  ///< Of the sender, without this stream.
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -9,18 +9,13 @@
 
 #include "cowslip/relay/effects.h"
 #include "cowslip/relay/item_table.h"
+#include "cowslip/relay/listing.h"
 #include "cowslip/relay/node_options.h"
+#include "cowslip/relay/return_detector.h"
 #include "cowslip/relay/ticket_log.h"
 
 namespace cowslip::relay {
 
-/// Contents of the store as of one modification index.
-struct Listing {
-  std::vector<TicketText> tickets;
-  std::vector<StoreEntry> items;
-  std::uint64_t index = 0;
-};
-
 /// One process's part in the distribution of tickets and store entries.
 ///
 /// A few processes of a data centre watch the store: those that rank first by a
@@ -77,7 +72,7 @@
     Peer peer;
     Subscription interest;
     TicketNumber ticket{};              ///< Known to be in force there.
-    std::uint64_t index = 0;            ///< Of the entries known to be there.
+    StorePosition position;             ///< Of the entries known to be there.
     StoreDistance hops = kNoStorePath;  ///< Store distance of the peer.
     TimePoint last_seen{};
     TimePoint last_heartbeat{};
@@ -132,6 +127,7 @@
   std::mt19937_64 random_;
   TicketLog tickets_;
   StoreReplica items_;
+  ReturnDetector returns_;
   std::map<std::string, Peer> peers_;  ///< From instance records, by key.
   /// From OnPeersRead() and PeerList messages, by instance.
   std::map<std::string, Peer> reported_peers_;
--- a/packages/relay/src/item_table.cc
+++ b/packages/relay/src/item_table.cc
@@ -2,48 +2,54 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace cowslip::relay {
 namespace {
 
-void SortByIndex(std::vector<StoreEntry>& items) {
+void SortByPosition(std::vector<StoreEntry>& items) {
   std::sort(items.begin(), items.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.index, a.key) < std::pair(b.index, b.key);
+    return std::tie(a.position, a.key) < std::tie(b.position, b.key);
   });
 }
 
 }  // namespace
 
 bool StoreReplica::Apply(const StoreEntry& entry) {
-  index_ = std::max(index_, entry.index);
+  position_ = std::max(position_, entry.position);
   auto& held = items_[entry.key];
-  if (held.index >= entry.index) return false;
+  if (held.position >= entry.position) return false;
   held = entry;
   return true;
 }
 
 std::vector<StoreEntry> StoreReplica::ApplyListing(
-    std::vector<StoreEntry> listing, std::uint64_t index) {
+    std::vector<StoreEntry> listing, const StorePosition& as_of) {
   std::set<std::string> listed;
-  for (const auto& entry : listing) listed.insert(entry.key);
+  for (auto& entry : listing) {
+    entry.position.era = as_of.era;
+    listed.insert(entry.key);
+  }
   for (const auto& [key, held] : items_) {
     const bool deleted = !listed.contains(key) && !held.value.empty();
-    if (deleted && held.index < index) listing.push_back({key, "", index});
+    if (deleted && held.position < as_of) listing.push_back({key, "", as_of});
   }
-  SortByIndex(listing);
+  SortByPosition(listing);
   std::erase_if(listing,
                 [this](const StoreEntry& entry) { return !Apply(entry); });
-  index_ = std::max(index_, index);
+  position_ = std::max(position_, as_of);
   return listing;
 }
 
 std::vector<StoreEntry> StoreReplica::ChangesSince(
-    std::uint64_t index, const Subscription& interest) const {
+    const StorePosition& position, const Subscription& interest) const {
   std::vector<StoreEntry> newer;
   for (const auto& [key, entry] : items_) {
-    if (entry.index > index && interest.Matches(entry)) newer.push_back(entry);
+    if (entry.position > position && interest.Matches(entry)) {
+      newer.push_back(entry);
+    }
   }
-  SortByIndex(newer);
+  SortByPosition(newer);
   return newer;
 }
 
--- a/packages/relay/src/message_codec.cc
+++ b/packages/relay/src/message_codec.cc
@@ -27,7 +27,8 @@
   return {{"t", kHello},
           {"self", ToJson(hello.self)},
           {"n", Raw(hello.ticket)},
-          {"x", hello.index},
+          {"x", hello.position.revision},
+          {"e", hello.position.era},
           {"all", hello.interest.all},
           {"s", std::move(services)},
           {"d", hello.store_distance}};
@@ -57,8 +58,11 @@
 }
 
 Json ToJson(const StoreEntry& entry) {
-  return {
-      {"t", kEntry}, {"k", entry.key}, {"v", entry.value}, {"x", entry.index}};
+  return {{"t", kEntry},
+          {"k", entry.key},
+          {"v", entry.value},
+          {"x", entry.position.revision},
+          {"e", entry.position.era}};
 }
 
 Peer PeerFrom(const Json& json) {
@@ -71,6 +75,11 @@
   return TicketNumber(json.at("n").get<std::uint64_t>());
 }
 
+/// Builds before eras were introduced send none.
+StorePosition PositionFrom(const Json& json) {
+  return {json.value("e", std::uint64_t{0}), json.at("x").get<std::uint64_t>()};
+}
+
 StoreDistance DepthFrom(const Json& json) {
   return std::min(json.at("d").get<StoreDistance>(), kNoStorePath);
 }
@@ -78,7 +87,7 @@
 Hello HelloFrom(const Json& json) {
   Hello hello{PeerFrom(json.at("self")),
               NumberFrom(json),
-              json.at("x").get<std::uint64_t>(),
+              PositionFrom(json),
               {},
               DepthFrom(json)};
   hello.interest.all = json.at("all").get<bool>();
@@ -106,8 +115,7 @@
   }
   if (type == kEntry) {
     return StoreEntry{json.at("k").get<std::string>(),
-                      json.at("v").get<std::string>(),
-                      json.at("x").get<std::uint64_t>()};
+                      json.at("v").get<std::string>(), PositionFrom(json)};
   }
   return std::nullopt;
 }
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -52,7 +52,11 @@
     UpdatePeers(entry);
     return true;
   });
-  const auto changed = items_.ApplyListing(std::move(selected), listing.index);
+  const auto era = returns_.EraOf(listing, items_);
+  effects.store.read_again = returns_.uncertain();
+  effects.store_returned |= era > items_.position().era;
+  const auto changed =
+      items_.ApplyListing(std::move(selected), {era, listing.index});
   for (const auto& entry : changed) {
     UpdatePeers(entry);
     PushEntry(entry, effects);
--- a/packages/relay/src/node_messages.cc
+++ b/packages/relay/src/node_messages.cc
@@ -32,7 +32,7 @@
   // A process that has only a part of the entries isn't a source for others.
   if (!options_.interest.all) return;
   for (auto& [id, stream] : streams_) {
-    const bool wanted = stream.ready && entry.index > stream.index;
+    const bool wanted = stream.ready && entry.position > stream.position;
     if (!wanted || !stream.interest.Matches(entry)) continue;
     effects.Send(id, entry);
   }
@@ -40,7 +40,8 @@
 
 void Node::PushEntries(StreamId id, Stream& stream, Effects& effects) {
   if (!options_.interest.all) return;
-  for (const auto& entry : items_.ChangesSince(stream.index, stream.interest)) {
+  for (const auto& entry :
+       items_.ChangesSince(stream.position, stream.interest)) {
     effects.Send(id, entry);
   }
 }
@@ -61,7 +62,7 @@
 }
 
 void Node::SendHello(StreamId id, Effects& effects) {
-  effects.Send(id, Hello{options_.self, tickets_.number(), items_.index(),
+  effects.Send(id, Hello{options_.self, tickets_.number(), items_.position(),
                          options_.interest, DistanceExcluding(id)});
 }
 
@@ -79,7 +80,7 @@
   stream.peer = hello.self;
   stream.interest = hello.interest;
   stream.ticket = hello.ticket;
-  stream.index = hello.index;
+  stream.position = hello.position;
   stream.hops = hello.store_distance;
   PushTickets(id, stream, effects);
   PushEntries(id, stream, effects);
@@ -123,7 +124,7 @@
 
 void Node::Handle(StreamId, Stream& stream, const StoreEntry& entry,
                   Effects& effects) {
-  stream.index = std::max(stream.index, entry.index);
+  stream.position = std::max(stream.position, entry.position);
   const bool wanted = options_.interest.Matches(entry);
   if (!wanted || !items_.Apply(entry)) return;
   UpdatePeers(entry);
--- a/tests/relay_simulation.h
+++ b/tests/relay_simulation.h
@@ -59,7 +59,7 @@
     if (!store_down) NotifyWatchers();
   }
   void Write(const std::string& key, const std::string& value) {
-    items_[key] = {key, value, ++index_};
+    items_[key] = {key, value, {0, ++index_}};
     if (!store_down) NotifyWatchers();
   }
   void Erase(const std::string& key) {
@@ -67,6 +67,31 @@
     ++index_;
     if (!store_down) NotifyWatchers();
   }
+  /// Contents of the store at some time.
+  struct StoreCopy {
+    std::vector<TicketText> tickets;
+    std::map<std::string, StoreEntry> items;
+    std::uint64_t index = 0;
+  };
+  StoreCopy CopyStore() const { return {tickets_, items_, index_}; }
+  /// Replaces the contents by an older copy. Indexes continue from there.
+  void RestoreStore(const StoreCopy& copy) {
+    tickets_ = copy.tickets;
+    items_ = copy.items;
+    index_ = copy.index;
+    if (!store_down) NotifyWatchers();
+  }
+  /// @return whether a node holds what the store holds.
+  bool HasContentsOfStore(std::size_t i) {
+    const auto& held = members_[i].node->items().items();
+    for (const auto& [key, entry] : held) {
+      const auto stored = items_.find(key);
+      const auto value = stored == items_.end() ? "" : stored->second.value;
+      if (entry.value != value) return false;
+    }
+    return std::ranges::all_of(
+        items_, [&](const auto& item) { return held.contains(item.first); });
+  }
   void SetStoreDown(bool on) {
     store_down = on;
     if (!on) NotifyWatchers();
@@ -191,6 +216,7 @@
       member.watching = true;
       ListFor(i);
     }
+    if (effects.store.read_again) ListFor(i);
     if (effects.store.read_peers) ReadPeers(i);
     if (effects.store.read_tickets) ++store_calls;
     for (const auto& message : effects.messages) Send(i, message);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -262,6 +262,67 @@
   BOOST_TEST(fleet.CountWithTicket(1) == fleet.size() - 3);
 }
 
+// The second writing gets an index that is not above that of the lost one.
+BOOST_AUTO_TEST_CASE(EntryIsNotHiddenByOneThatTheStoreHasLost) {
+  RelaySimulation fleet(7);
+  AddMembers(fleet, 10, 0);
+  const auto key = UpstreamKey(1, 1);
+  fleet.Write(key, "kept");
+  fleet.Run(seconds(2));
+  const auto copy = fleet.CopyStore();
+  for (int i = 0; i < 5; ++i) fleet.Write(key, "lost");
+  fleet.Run(seconds(2));
+  fleet.RestoreStore(copy);
+  fleet.Run(seconds(2));
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    BOOST_TEST(fleet.node(i).items().items().at(key).value == "kept");
+  }
+  fleet.Write(key, "again");
+  fleet.Run(seconds(2));
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    BOOST_TEST(fleet.node(i).items().items().at(key).value == "again");
+  }
+}
+
+// Random writes, returns from copies, outages, restarts and duplicates.
+BOOST_DATA_TEST_CASE(NodesAgreeWithARestoredStore, data::xrange(1, 31), seed) {
+  RelaySimulation fleet(static_cast<std::uint64_t>(seed));
+  std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+  fleet.duplicate_share = 0.1;
+  AddMembers(fleet, 8, 0);
+  auto copy = fleet.CopyStore();
+  for (int step = 0; step < 60; ++step) {
+    switch (random() % 8) {
+      case 0:
+        copy = fleet.CopyStore();
+        break;
+      case 1:
+        fleet.RestoreStore(copy);
+        break;
+      case 2:
+        fleet.SetStoreDown(!fleet.store_down);
+        break;
+      case 3:
+        fleet.Start(random() % fleet.size());
+        break;
+      case 4:
+        fleet.Erase(UpstreamKey(1, static_cast<int>(random() % 5)));
+        break;
+      default:
+        fleet.Write(UpstreamKey(1, static_cast<int>(random() % 5)),
+                    std::to_string(step));
+    }
+    fleet.Run(milliseconds(random() % 1500));
+  }
+  fleet.SetStoreDown(false);
+  fleet.Run(seconds(10));
+  fleet.Write(UpstreamKey(1, 9), "last");
+  fleet.Run(seconds(5));
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    BOOST_TEST(fleet.HasContentsOfStore(i), "seed " << seed << " node " << i);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LogRejectsGapsAndOldNumbers) {
   TicketLog log;
   LastReason<ticket::TicketError> reason;
@@ -284,12 +345,12 @@
 BOOST_AUTO_TEST_CASE(MessagesDecodeToTheirOriginals) {
   const Peer peer{"b1", "callao", {0x7f000001, 7}};
   const Message messages[] = {
-      Hello{peer, TicketNumber{3}, 9, {false, {ServiceId{4}}}, 2},
+      Hello{peer, TicketNumber{3}, {1, 9}, {false, {ServiceId{4}}}, 2},
       Heartbeat{TicketNumber{5}, 1},
       TicketRequest{TicketNumber{6}},
       PeerList{{peer}},
       TicketText{TicketNumber{7}, true, "a: \"b\"\n\\"},
-      StoreEntry{"k", "v\n", 8}};
+      StoreEntry{"k", "v\n", {2, 8}}};
   for (const auto& message : messages) {
     const auto line = EncodeMessage(message);
     LastReason<RelayError> reason;
