cowslipd: an announcement that the store has lost is written again

What callers saw: nothing yet. In the new process test, an upstream whose restarted sidecar had announced itself stayed away after the store had come back from a copy with the announcement of the process before: the sidecar ran on and got no work. Had it checked its announcement, it would have ended as superseded.

LeaseGate took an older own entry for a view that lags behind, also after it had seen its own in a view; AnnouncementStore took any announcement of another writer for that of a successor.

Change: an older entry after the own one makes the sidecar check its announcement; one with a lower incarnation is not a successor's, so the sidecar claims the next. If the store loses the claim before any view has it, a check after 5 s (then at doubling intervals) finds that, with the gate left open. The stand-in store keeps a copy (/fault/copy) and comes back from it (/fault/restore).

The two tests of LeaseGate failed before.

--- a/packages/daemon/src/announcement_store.cc
+++ b/packages/daemon/src/announcement_store.cc
@@ -112,11 +112,14 @@
   const auto stored = Read(key_, reason);
   if (!stored) return std::nullopt;
   if (stored->announcement) {
-    if (stored->announcement->writer != announcement_.writer) {
+    // An older one is of a process before this one: the store has lost the
+    // claim of this process.
+    const auto stored_incarnation = stored->announcement->upstream.incarnation;
+    const bool older = stored_incarnation < incarnation();
+    if (stored->announcement->writer != announcement_.writer && !older) {
       return LeaseStatus::kSuperseded;
     }
-    const bool current =
-        stored->announcement->upstream.incarnation == incarnation();
+    const bool current = stored_incarnation == incarnation();
     if (current && !stored->announcement->dead) return LeaseStatus::kActive;
   }
   if (!ClaimAfter(*stored, reason)) return std::nullopt;
--- a/packages/membership/include/cowslip/membership/lease_gate.h
+++ b/packages/membership/include/cowslip/membership/lease_gate.h
@@ -31,12 +31,18 @@
   ///     lease counts from the first event.
   LeaseGate(Duration lease, Incarnation incarnation,
             std::optional<TimePoint> claimed)
-      : lease_(lease), incarnation_(incarnation), last_event_(claimed) {}
+      : lease_(lease),
+        incarnation_(incarnation),
+        last_event_(claimed),
+        unseen_check_interval_(lease) {}
 
-  /// Closes the gate if the last event is longer ago than the lease.
+  /// Closes the gate if the last event is longer ago than the lease. Requests a
+  /// check, with the gate left open, if no view has the own entry yet: the
+  /// store may have lost the claim right after it.
   void OnEvent(TimePoint now);
   /// Handles the own entry of a new view, nullptr if the view has none. Closes
-  /// the gate if the entry has a newer incarnation or has vanished.
+  /// the gate if the entry has a newer incarnation, or has vanished or gone
+  /// back to an older one.
   void OnOwnViewEntry(const Upstream* entry);
   /// Handles a view in which the death of the own incarnation is recorded. This
   /// may be the first view that has an entry of this process at all.
@@ -60,6 +66,7 @@
  private:
   /// Closes the gate and requests a read of the announcement.
   void RequestCheck();
+  void RequestCheckIfUnseen(TimePoint now);
 
   Duration lease_;
   Incarnation incarnation_;
@@ -68,6 +75,9 @@
   std::uint64_t last_check_ = 0;
   bool check_taken_ = true;
   bool in_last_view_ = false;
+  /// When to check a claim that no view has, and the interval after that.
+  std::optional<TimePoint> next_unseen_check_;
+  Duration unseen_check_interval_;
   bool death_handled_ = false;
 };
 
--- a/packages/membership/src/lease_gate.cc
+++ b/packages/membership/src/lease_gate.cc
@@ -15,18 +15,31 @@
   const auto gap = now - last_event_.value_or(now);
   last_event_ = std::max(last_event_.value_or(now), now);
   if (gap > lease_) RequestCheck();
+  RequestCheckIfUnseen(now);
+}
+
+void LeaseGate::RequestCheckIfUnseen(TimePoint now) {
+  if (in_last_view_ || state_ != LeaseState::kHeld) return;
+  if (!next_unseen_check_) next_unseen_check_ = now + unseen_check_interval_;
+  if (now < *next_unseen_check_) return;
+  unseen_check_interval_ *= 2;
+  next_unseen_check_ = now + unseen_check_interval_;
+  ++last_check_;
+  check_taken_ = false;
 }
 
 void LeaseGate::OnOwnViewEntry(const Upstream* entry) {
   if (entry != nullptr && entry->incarnation == incarnation_) {
     in_last_view_ = true;
+    next_unseen_check_.reset();
+    unseen_check_interval_ = lease_;
     return;
   }
-  // Views may lag behind the claim: an older entry, or a missing entry before
-  // the first own one was seen, is no contradiction.
+  // Views may lag behind the claim: an older or a missing entry before the
+  // first own one was seen is no contradiction. Later, it shows that the store
+  // has lost the claim.
   const bool newer = entry != nullptr && entry->incarnation > incarnation_;
-  const bool vanished = entry == nullptr && in_last_view_;
-  if (!newer && !vanished) return;
+  if (!newer && !in_last_view_) return;
   in_last_view_ = false;
   RequestCheck();
 }
@@ -50,7 +63,7 @@
 }
 
 std::optional<LeaseCheckId> LeaseGate::TakeCheck() {
-  if (check_taken_ || state_ != LeaseState::kUnverified) return std::nullopt;
+  if (check_taken_ || state_ == LeaseState::kLost) return std::nullopt;
   check_taken_ = true;
   return LeaseCheckId(last_check_);
 }
--- a/standins/store/fault_api.cc
+++ b/standins/store/fault_api.cc
@@ -21,6 +21,14 @@
     store_.EndAllSessions();
     return true;
   }
+  if (request.path == "/fault/copy") {
+    store_.SaveCopy();
+    return true;
+  }
+  if (request.path == "/fault/restore") {
+    store_.RestoreCopy();
+    return true;
+  }
   if (request.path == "/fault/down" && on) {
     faults_.SetDown(*on != 0);
     store_.WakeAllWatches();
--- a/standins/store/store.cc
+++ b/standins/store/store.cc
@@ -136,6 +136,21 @@
   }
 }
 
+void Store::SaveCopy() {
+  const std::lock_guard lock(mutex_);
+  copied_table_ = table_;
+  copied_sessions_ = sessions_;
+}
+
+void Store::RestoreCopy() {
+  const std::lock_guard lock(mutex_);
+  table_ = copied_table_;
+  sessions_ = copied_sessions_;
+  lock_delays_.clear();
+  queries_.WakeAll();
+  sessions_changed_.notify_one();
+}
+
 void Store::WakeAllWatches() {
   const std::lock_guard lock(mutex_);
   queries_.WakeAll();
--- a/standins/store/store.h
+++ b/standins/store/store.h
@@ -57,6 +57,12 @@
   /// Ends all sessions.
   void EndAllSessions();
 
+  /// Keeps a copy of the contents.
+  void SaveCopy();
+  /// Replaces the contents by the copy, which loses all later changes. Indexes
+  /// continue from the copy.
+  void RestoreCopy();
+
   /// Answers all waiting reads at once.
   void WakeAllWatches();
   /// Answers all waiting reads at once; later watches do not wait.
@@ -73,6 +79,8 @@
   std::mutex mutex_;
   KvTable table_;
   SessionTable sessions_;
+  KvTable copied_table_;
+  SessionTable copied_sessions_;
   BlockingQueries queries_;
   /// Time before which no session may lock the key.
   std::map<std::string, TimePoint> lock_delays_;
--- /dev/null
+++ b/tests/process/store_restored_test.cc
@@ -0,0 +1,36 @@
+#define BOOST_TEST_MODULE store_restored
+#include <boost/test/unit_test.hpp>
+
+#include "tests/process/deployment.h"
+#include "tests/process/stored_incarnation.h"
+
+namespace cowslip::testing {
+namespace {
+
+bool Posts(Deployment& deployment, const std::string& claim) {
+  return deployment
+             .RunCaller({"post", deployment.Vip(1), "/claim", claim,
+                         "--timeout-s", "8"})
+             .exit_code == 0;
+}
+
+}  // namespace
+
+// The copy has the announcement of the process before this one.
+BOOST_AUTO_TEST_CASE(LostAnnouncementIsWrittenAgain) {
+  Deployment deployment{DeploymentOptions{}};
+  BOOST_REQUIRE(deployment.Start());
+  BOOST_REQUIRE_EQUAL(StoredIncarnation(deployment, 11), 1U);
+  BOOST_REQUIRE(deployment.SetStoreFault("copy"));
+  deployment.Kill("sidecar-11");
+  deployment.Restart("sidecar-11");
+  BOOST_REQUIRE(
+      Eventually([&] { return StoredIncarnation(deployment, 11) == 2; }));
+  BOOST_REQUIRE(Eventually([&] { return Posts(deployment, "before"); }));
+  BOOST_REQUIRE(deployment.SetStoreFault("restore"));
+  BOOST_TEST(Eventually([&] { return StoredIncarnation(deployment, 11) > 2; }));
+  BOOST_TEST(deployment.Process("sidecar-11").IsRunning());
+  BOOST_TEST(Eventually([&] { return Posts(deployment, "after"); }));
+}
+
+}  // namespace cowslip::testing
--- a/tests/relay_simulation.h
+++ b/tests/relay_simulation.h
@@ -52,9 +52,10 @@
     member.node = std::make_unique<Node>(member.options, now_);
     ScheduleTick(i);
   }
-  void Submit() {
+  void Submit(const std::string& author = "quispe") {
     const auto number = tickets_.size() + 1;
-    tickets_.push_back({TicketNumber(number), false, TicketYaml(number)});
+    tickets_.push_back(
+        {TicketNumber(number), false, TicketYaml(number, author)});
     ++index_;
     if (!store_down) NotifyWatchers();
   }
@@ -172,9 +173,10 @@
     }
   };
 
-  static std::string TicketYaml(std::uint64_t number) {
-    return "ticket: " + std::to_string(number) +
-           "\nauthor: quispe\nservices:\n  - {id: 1, name: custody, address: "
+  static std::string TicketYaml(std::uint64_t number,
+                                const std::string& author) {
+    return "ticket: " + std::to_string(number) + "\nauthor: " + author +
+           "\nservices:\n  - {id: 1, name: custody, address: "
            "\"127.0.0.1:1\", protocol: datagram, prefer: balance, "
            "idle_timeout: " +
            std::to_string(1 + number % 60) + "s}\n";
--- a/tests/upstream_watch_test.cc
+++ b/tests/upstream_watch_test.cc
@@ -87,6 +87,40 @@
   BOOST_TEST(upstream.announcements <= 40);
 }
 
+/// The store has lost the claim and shows the predecessor's again.
+BOOST_AUTO_TEST_CASE(an_older_own_entry_after_the_present_one_closes_the_gate) {
+  const TimePoint now{std::chrono::hours(1)};
+  LeaseGate gate(std::chrono::seconds(5), Incarnation(7), now);
+  gate.OnEvent(now);
+  Upstream entry;
+  entry.incarnation = Incarnation(6);
+  gate.OnOwnViewEntry(&entry);
+  BOOST_TEST(gate.admits_work());
+  entry.incarnation = Incarnation(7);
+  gate.OnOwnViewEntry(&entry);
+  entry.incarnation = Incarnation(6);
+  gate.OnOwnViewEntry(&entry);
+  BOOST_TEST(!gate.admits_work());
+  BOOST_TEST(gate.TakeCheck().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_claim_that_no_view_shows_is_checked_with_an_open_gate) {
+  const TimePoint now{std::chrono::hours(1)};
+  LeaseGate gate(std::chrono::seconds(5), Incarnation(7), now);
+  int checks = 0;
+  for (std::chrono::milliseconds time{0}; time < std::chrono::seconds(60);
+       time += std::chrono::milliseconds(100)) {
+    gate.OnEvent(now + time);
+    gate.OnOwnViewEntry(nullptr);
+    BOOST_REQUIRE(gate.admits_work());
+    if (!gate.TakeCheck()) continue;
+    ++checks;
+    BOOST_TEST(time.count() >= 5000);
+  }
+  // After 5, 15 and 35 s.
+  BOOST_TEST(checks == 3);
+}
+
 /// The recorded death of an incarnation may reach its process before any view
 /// in which the incarnation is alive.
 BOOST_AUTO_TEST_CASE(
