A list of the store's entries is of one era

In the test, an instance that read the list while the store came back from a copy took up 20 entries of the first page that the store no longer had.

Cause: the key after which a page starts is remembered across a return of the store, like the positions and ids before; here the two pages are of different histories.

--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -202,6 +202,28 @@
   BOOST_TEST(store->table().Find(KeyOf(kFirstInstance))->revision == before);
 }
 
+// The store comes back between two pages of a list.
+BOOST_FIXTURE_TEST_CASE(ListDoesNotMixEntriesOfTwoEras, Fixture) {
+  constexpr std::uint32_t kInstances = 30;
+  const auto copy = store->table();
+  for (std::uint32_t i = 0; i < kInstances; ++i) {
+    peers::Message message;
+    message.entries.push_back(MakeEntry(kFirstInstance + i));
+    const auto bytes = peers::Encode(message);
+    store->table().Put(KeyOf(kFirstInstance + i),
+                       std::string(bytes.begin(), bytes.end()));
+  }
+  store->SetOnCall([&, pages = 0](const std::string& path) mutable {
+    const bool is_page = path == "/cowslippitch/kv-range";
+    if (is_page && ++pages == 2) store->Restore(copy);
+  });
+  Registration reader(loop, client, MakeEntry(1), [](const auto&) {});
+  std::optional<std::size_t> listed;
+  reader.List([&](const auto& entries) { listed = entries->size(); });
+  BOOST_REQUIRE(RunUntil(loop, kShortTime, [&] { return listed.has_value(); }));
+  BOOST_TEST(*listed == 0U);
+}
+
 // The lost id of the first instance's lease is given to the second one.
 BOOST_FIXTURE_TEST_CASE(PlannedStopDoesNotEndTheLeaseOfAnotherInstance,
                         Fixture) {
