Entries are back two seconds after an unresponsive store

What callers saw: nothing.

Cause: the longest delay between tries was 1.5 s; a try that begins just before the store answers again has to time out first, 0.6 s, so an entry could be back after 2.1 s. Independent of eras. Evidence: the log of sidecar-5, open_lease without an answer at 42.26 s and registered at 46.19 s.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -257,6 +257,21 @@
   }));
 }
 
+// A call that begins just before the end of the outage has to time out first.
+BOOST_FIXTURE_TEST_CASE(EntryIsWrittenSoonAfterAnUnresponsiveStore, Fixture) {
+  const auto entry = MakeEntry(0x0a000001);
+  Registration instance(loop, client, entry, [](const auto&) {});
+  int calls = 0;
+  store->SetFault(StoreFault::kNoResponse);
+  store->SetOnCall([&](const std::string&) { ++calls; });
+  instance.Publish(entry);
+  BOOST_REQUIRE(RunUntil(loop, milliseconds(8000), [&] { return calls == 4; }));
+  store->SetFault(StoreFault::kNone);
+  BOOST_TEST(RunUntil(loop, milliseconds(2000), [&] {
+    return store->table().Range("cowslip/instances/", "").size() == 1;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(EntryIsWrittenSoonAfterALongOutage, Fixture) {
   const auto entry = MakeEntry(0x0a000001);
   Registration instance(loop, client, entry, [](const auto&) {});
