--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -361,6 +361,14 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(EntryOfABuildWithoutErasIsOfEraZero) {
+  LastReason<RelayError> reason;
+  const auto message =
+      DecodeMessage(R"({"t":"item","k":"a","v":"b","x":5})", reason);
+  BOOST_REQUIRE(message.has_value());
+  BOOST_TEST((*message == Message{StoreEntry{"a", "b", {0, 5}}}));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedMessagesAreRejected) {
   for (const auto* line : {"", "{}", "[]", "{\"t\":\"x\"}", "{\"t\":\"b\"}",
                            "{\"t\":\"ticket\",\"n\":-1}"}) {
