cowslipd: tickets under lost numbers replace those that the store has lost

What callers saw: nothing yet; no record of such a return exists. In the tests, an operator's accepted ticket was in force at no process: all kept the ticket that the store had lost, for as long as they ran.

Tickets were ordered by number alone, which holds only while the store keeps what it has acknowledged; cowslipctl gives the number that the store is missing.

Change: the tickets in force have a position, era and number. A second read, begun after the first, has to show the same, as a response from before the return may arrive late. Tickets that the store merely lacks stay in force. A number that is heard of in frames but is not in the store is given up, which otherwise would be read for again and again. Message fields are optional; builds before this one count as era 0 and keep lost tickets until their numbers are passed.

Process test AcceptedTicketReplacesLostOnes. The tickets of the simulation now differ in their contents too, and its check that numbers never decrease is one that positions never decrease.

--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -150,6 +150,7 @@
   effects.rejected.clear();
   effects.entries_changed = false;
   effects.store_returned = false;
+  effects.replaced.clear();
   // Updates go to peers before this process spends time on its own view.
   transport_->ApplyEffects();
   if (changed) Publish();
@@ -167,7 +168,15 @@
   }
   if (effects.store_returned) {
     Log(LogLevel::kWarn, "store_returned",
-        {{"era", transport_->node().items().position().era}});
+        {{"era", transport_->node().items().position().era},
+         {"ticket_in_force", Raw(transport_->node().tickets().number())},
+         {"ticket_stored", Raw(effects.stored_ticket)}});
+  }
+  for (const auto& replaced : effects.replaced) {
+    Log(LogLevel::kWarn, "tickets_replaced",
+        {{"previous", Raw(replaced.previous.number)},
+         {"in_force", Raw(replaced.present.number)},
+         {"era", replaced.present.era}});
   }
   if (effects.store.start_watch) Log(LogLevel::kInfo, "store_watch_started");
   if (effects.store.stop_watch) Log(LogLevel::kInfo, "store_watch_ended");
--- a/packages/registry/src/compaction.cc
+++ b/packages/registry/src/compaction.cc
@@ -9,13 +9,6 @@
 
 /// Replaced tickets whose author, note and digest a snapshot holds.
 constexpr std::size_t kMaxFolded = 256;
-constexpr std::size_t kMaxNoteBytes = 120;
-
-ticket::FoldedTicket Summarise(const StoredTicket& stored) {
-  return {stored.ticket.number, stored.ticket.author,
-          stored.ticket.note.substr(0, kMaxNoteBytes),
-          ticket::TicketDigest(stored.text)};
-}
 
 ticket::Ticket MakeSnapshot(const History& history) {
   auto snapshot = history.state.Snapshot();
@@ -23,7 +16,9 @@
   for (const auto& [number, stored] : history.tickets) {
     const bool newly_folded =
         number > history.snapshot && number <= history.state.number();
-    if (newly_folded) snapshot.folded.push_back(Summarise(stored));
+    if (newly_folded) {
+      snapshot.folded.push_back(ticket::Summarize(stored.ticket, stored.text));
+    }
   }
   auto& folded = snapshot.folded;
   if (folded.size() > kMaxFolded) {
--- a/packages/relay/include/cowslip/relay.h
+++ b/packages/relay/include/cowslip/relay.h
@@ -17,3 +17,4 @@
 #include "cowslip/relay/relay_error.h"      // IWYU pragma: export
 #include "cowslip/relay/return_detector.h"  // IWYU pragma: export
 #include "cowslip/relay/ticket_log.h"       // IWYU pragma: export
+#include "cowslip/relay/ticket_position.h"  // IWYU pragma: export
--- a/packages/relay/include/cowslip/relay/effects.h
+++ b/packages/relay/include/cowslip/relay/effects.h
@@ -38,6 +38,13 @@
   std::string reason;
 };
 
+/// Reports that tickets in force were replaced, because the store has lost them
+/// and has others under their numbers. For the log only.
+struct ReplacedTickets {
+  TicketPosition previous;
+  TicketPosition present;
+};
+
 /// Operations on the store that a node asks for.
 struct StoreRequests {
   /// Watch all keys; every result goes to Node::OnListing().
@@ -63,6 +70,8 @@
   bool entries_changed = false;        ///< The StoreReplica has changed.
   /// The store has come back from an older copy. For the log only.
   bool store_returned = false;
+  TicketNumber stored_ticket{};  ///< The highest of a returned store.
+  std::vector<ReplacedTickets> replaced;
 
   /// Adds a message to a stream. @param message an alternative of Message.
   template <typename Typed>
--- a/packages/relay/include/cowslip/relay/message.h
+++ b/packages/relay/include/cowslip/relay/message.h
@@ -23,7 +23,7 @@
 /// the state it has, and the entries it wants to receive.
 struct Hello {
   Peer self;
-  TicketNumber ticket{};   ///< In force at the sender.
+  TicketPosition ticket;   ///< In force at the sender.
   StorePosition position;  ///< StoreReplica::position() of the sender.
   Subscription interest;
   StoreDistance store_distance =
@@ -34,7 +34,7 @@
 
 /// Periodic message with the sender's ticket number and store distance.
 struct Heartbeat {
-  TicketNumber ticket{};
+  TicketPosition ticket;
   StoreDistance store_distance = kNoStorePath;
 
   bool operator==(const Heartbeat&) const = default;
@@ -42,7 +42,7 @@
 
 /// Asks the receiver for all tickets after the sender's.
 struct TicketRequest {
-  TicketNumber ticket{};
+  TicketPosition ticket;
 
   bool operator==(const TicketRequest&) const = default;
 };
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -71,7 +71,7 @@
     bool ready = false;  ///< A Hello has arrived.
     Peer peer;
     Subscription interest;
-    TicketNumber ticket{};              ///< Known to be in force there.
+    TicketPosition ticket;              ///< Known to be in force there.
     StorePosition position;             ///< Of the entries known to be there.
     StoreDistance hops = kNoStorePath;  ///< Store distance of the peer.
     TimePoint last_seen{};
@@ -93,6 +93,14 @@
 
   /// @return whether the ticket in force changed.
   bool ApplyTicket(const TicketText& text, Effects& effects);
+  void ApplyStoredTickets(const std::vector<TicketText>& stored, bool complete,
+                          Effects& effects);
+  void ApplyStoredTicket(const TicketText& text, Effects& effects);
+  /// Reports the ticket in force unless it is still the previous one.
+  void ReportInForce(const TicketPosition& previous, Effects& effects);
+  /// Handles the tickets that were read because of noticed_ticket_: if the
+  /// store doesn't have it, it is lost, and waiting for it would not end.
+  void ForgetMissingTicket(const std::vector<TicketText>& stored);
   /// Sends the tickets that the other end doesn't have.
   void PushTickets(StreamId id, Stream& stream, Effects& effects);
   /// Sends an entry to all processes that selected it and don't have it.
@@ -145,7 +153,11 @@
   TimePoint last_connected_;   ///< Last tick with an open stream or the store.
   TimePoint last_store_path_;  ///< Last tick with a path to the store.
   Duration unconnected_timeout_;
-  TicketNumber noticed_ticket_{};  ///< Highest number in a data frame.
+  TicketNumber noticed_ticket_{};    ///< Highest number in a data frame.
+  TicketNumber requested_ticket_{};  ///< noticed_ticket_ at the last read.
+  TicketNumber lost_ticket_{};       ///< Highest number noticed but not stored.
+  /// Tickets in force that the last listing contradicted.
+  std::optional<TicketPosition> contradicted_;
   TimePoint noticed_at_;
   TimePoint next_ticket_read_;
 };
--- a/packages/relay/src/message_codec.cc
+++ b/packages/relay/src/message_codec.cc
@@ -26,7 +26,8 @@
   for (const auto id : hello.interest.services) services.push_back(Raw(id));
   return {{"t", kHello},
           {"self", ToJson(hello.self)},
-          {"n", Raw(hello.ticket)},
+          {"n", Raw(hello.ticket.number)},
+          {"te", hello.ticket.era},
           {"x", hello.position.revision},
           {"e", hello.position.era},
           {"all", hello.interest.all},
@@ -36,12 +37,14 @@
 
 Json ToJson(const Heartbeat& heartbeat) {
   return {{"t", kBeat},
-          {"n", Raw(heartbeat.ticket)},
+          {"n", Raw(heartbeat.ticket.number)},
+          {"te", heartbeat.ticket.era},
           {"d", heartbeat.store_distance}};
 }
 
 Json ToJson(const TicketRequest& want) {
-  return {{"t", kWant}, {"n", Raw(want.ticket)}};
+  return {
+      {"t", kWant}, {"n", Raw(want.ticket.number)}, {"te", want.ticket.era}};
 }
 
 Json ToJson(const PeerList& peers) {
@@ -53,6 +56,7 @@
 Json ToJson(const TicketText& ticket) {
   return {{"t", kTicket},
           {"n", Raw(ticket.number)},
+          {"te", ticket.era},
           {"fold", ticket.snapshot},
           {"v", ticket.text}};
 }
@@ -71,11 +75,13 @@
           control.value_or(Endpoint{})};
 }
 
-TicketNumber NumberFrom(const Json& json) {
-  return TicketNumber(json.at("n").get<std::uint64_t>());
+// Builds before eras were introduced send none.
+
+TicketPosition TicketFrom(const Json& json) {
+  return {json.value("te", std::uint64_t{0}),
+          TicketNumber(json.at("n").get<std::uint64_t>())};
 }
 
-/// Builds before eras were introduced send none.
 StorePosition PositionFrom(const Json& json) {
   return {json.value("e", std::uint64_t{0}), json.at("x").get<std::uint64_t>()};
 }
@@ -86,7 +92,7 @@
 
 Hello HelloFrom(const Json& json) {
   Hello hello{PeerFrom(json.at("self")),
-              NumberFrom(json),
+              TicketFrom(json),
               PositionFrom(json),
               {},
               DepthFrom(json)};
@@ -106,12 +112,13 @@
 std::optional<Message> FromJson(const Json& json) {
   const auto type = json.at("t").get<std::string>();
   if (type == kHello) return HelloFrom(json);
-  if (type == kBeat) return Heartbeat{NumberFrom(json), DepthFrom(json)};
-  if (type == kWant) return TicketRequest{NumberFrom(json)};
+  if (type == kBeat) return Heartbeat{TicketFrom(json), DepthFrom(json)};
+  if (type == kWant) return TicketRequest{TicketFrom(json)};
   if (type == kPeers) return PeersFrom(json);
   if (type == kTicket) {
-    return TicketText{NumberFrom(json), json.at("fold").get<bool>(),
-                      json.at("v").get<std::string>()};
+    const auto position = TicketFrom(json);
+    return TicketText{position.number, json.at("fold").get<bool>(),
+                      json.at("v").get<std::string>(), position.era};
   }
   if (type == kEntry) {
     return StoreEntry{json.at("k").get<std::string>(),
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -3,6 +3,15 @@
 #include <algorithm>
 
 namespace cowslip::relay {
+namespace {
+
+TicketNumber HighestNumber(const std::vector<TicketText>& tickets) {
+  TicketNumber highest{};
+  for (const auto& text : tickets) highest = std::max(highest, text.number);
+  return highest;
+}
+
+}  // namespace
 
 Node::Node(const NodeOptions& options, TimePoint now)
     : options_(options),
@@ -42,9 +51,12 @@
 }
 
 void Node::OnListing(const Listing& listing, bool complete, Effects& effects) {
-  for (const auto& text : listing.tickets) ApplyTicket(text, effects);
+  ApplyStoredTickets(listing.tickets, complete, effects);
   for (auto& [id, stream] : streams_) PushTickets(id, stream, effects);
-  if (!complete) return;
+  if (!complete) {
+    ForgetMissingTicket(listing.tickets);
+    return;
+  }
   store_answered_ = true;
   auto selected = listing.items;
   std::erase_if(selected, [this](const StoreEntry& entry) {
@@ -53,8 +65,11 @@
     return true;
   });
   const auto era = returns_.EraOf(listing, items_);
-  effects.store.read_again = returns_.uncertain();
-  effects.store_returned |= era > items_.position().era;
+  effects.store.read_again |= returns_.uncertain();
+  if (era > items_.position().era) {
+    effects.store_returned = true;
+    effects.stored_ticket = HighestNumber(listing.tickets);
+  }
   const auto changed =
       items_.ApplyListing(std::move(selected), {era, listing.index});
   for (const auto& entry : changed) {
@@ -64,6 +79,45 @@
   effects.entries_changed |= !changed.empty();
 }
 
+/// The store has lost tickets that are in force if it has others under their
+/// numbers. If it has none there, the lost ones stay in force.
+void Node::ApplyStoredTickets(const std::vector<TicketText>& stored,
+                              bool complete, Effects& effects) {
+  if (!tickets_.Contradicts(stored)) {
+    contradicted_.reset();
+    for (const auto& text : stored) ApplyStoredTicket(text, effects);
+    return;
+  }
+  const auto previous = tickets_.position();
+  // The read may have begun before a peer sent the tickets in force.
+  if (contradicted_ != previous) {
+    contradicted_ = previous;
+    (complete ? effects.store.read_again : effects.store.read_tickets) = true;
+    return;
+  }
+  contradicted_.reset();
+  LastReason<ticket::TicketError> reason;
+  tickets_.ReplaceWith(stored, reason);
+  ReportInForce(previous, effects);
+  if (reason.ok()) return;
+  const TicketNumber next{Raw(tickets_.number()) + 1};
+  effects.rejected.push_back({next, reason.Message()});
+}
+
+void Node::ApplyStoredTicket(const TicketText& text, Effects& effects) {
+  const auto previous = tickets_.position();
+  LastReason<ticket::TicketError> reason;
+  tickets_.ApplyStored(text, reason);
+  ReportInForce(previous, effects);
+  if (!reason.ok()) effects.rejected.push_back({text.number, reason.Message()});
+}
+
+void Node::ForgetMissingTicket(const std::vector<TicketText>& stored) {
+  const auto highest = std::max(tickets_.number(), HighestNumber(stored));
+  if (requested_ticket_ > highest) lost_ticket_ = requested_ticket_;
+  if (noticed_ticket_ <= lost_ticket_) noticed_ticket_ = {};
+}
+
 void Node::OnStoreLost(Effects&) { store_answered_ = false; }
 
 void Node::OnPeersRead(const std::vector<Peer>& peers) {
@@ -108,13 +162,15 @@
 
 void Node::OnTicketAnnounced(TicketNumber number, TimePoint now,
                              Effects& effects) {
-  if (number <= tickets_.number() || number <= noticed_ticket_) return;
+  const auto known =
+      std::max({tickets_.number(), noticed_ticket_, lost_ticket_});
+  if (number <= known) return;
   noticed_ticket_ = number;
   noticed_at_ = now;
   next_ticket_read_ = now + AddJitter(options_.store_fallback_delay);
   for (const auto& [id, stream] : streams_) {
     if (stream.ready) {
-      effects.Send(id, TicketRequest{tickets_.number()});
+      effects.Send(id, TicketRequest{tickets_.position()});
     }
   }
 }
--- a/packages/relay/src/node_maintenance.cc
+++ b/packages/relay/src/node_maintenance.cc
@@ -43,7 +43,7 @@
     if (now - stream.last_seen > options_.stream_timeout) stale.push_back(id);
     if (now - stream.last_heartbeat < options_.heartbeat_interval) continue;
     stream.last_heartbeat = now;
-    effects.Send(id, Heartbeat{tickets_.number(), DistanceExcluding(id)});
+    effects.Send(id, Heartbeat{tickets_.position(), DistanceExcluding(id)});
   }
   for (const auto id : stale) {
     effects.closes.push_back({id});
@@ -197,6 +197,7 @@
 void Node::ReadMissingTicket(TimePoint now, Effects& effects) {
   if (noticed_ticket_ <= tickets_.number() || now < next_ticket_read_) return;
   effects.store.read_tickets = true;
+  requested_ticket_ = noticed_ticket_;
   next_ticket_read_ = now + AddJitter(options_.max_retry);
 }
 
--- a/packages/relay/src/node_messages.cc
+++ b/packages/relay/src/node_messages.cc
@@ -11,21 +11,29 @@
 }  // namespace
 
 bool Node::ApplyTicket(const TicketText& text, Effects& effects) {
+  const auto previous = tickets_.position();
   LastReason<ticket::TicketError> reason;
-  if (tickets_.Apply(text, reason)) {
-    effects.in_force.push_back(text.number);
-    return true;
-  }
+  const bool applied = tickets_.Apply(text, reason);
+  if (applied) ReportInForce(previous, effects);
   if (!reason.ok()) effects.rejected.push_back({text.number, reason.Message()});
-  return false;
+  return applied;
+}
+
+void Node::ReportInForce(const TicketPosition& previous, Effects& effects) {
+  const auto present = tickets_.position();
+  if (present == previous) return;
+  effects.in_force.push_back(present.number);
+  const bool replaced =
+      present.era != previous.era && previous.number != TicketNumber{};
+  if (replaced) effects.replaced.push_back({previous, present});
 }
 
 void Node::PushTickets(StreamId id, Stream& stream, Effects& effects) {
-  if (!stream.ready || stream.ticket >= tickets_.number()) return;
+  if (!stream.ready || stream.ticket >= tickets_.position()) return;
   for (const auto& text : tickets_.ChangesSince(stream.ticket)) {
     effects.Send(id, text);
   }
-  stream.ticket = tickets_.number();
+  stream.ticket = tickets_.position();
 }
 
 void Node::PushEntry(const StoreEntry& entry, Effects& effects) {
@@ -62,7 +70,7 @@
 }
 
 void Node::SendHello(StreamId id, Effects& effects) {
-  effects.Send(id, Hello{options_.self, tickets_.number(), items_.position(),
+  effects.Send(id, Hello{options_.self, tickets_.position(), items_.position(),
                          options_.interest, DistanceExcluding(id)});
 }
 
@@ -91,8 +99,8 @@
                   Effects& effects) {
   stream.hops = heartbeat.store_distance;
   stream.ticket = std::max(stream.ticket, heartbeat.ticket);
-  if (heartbeat.ticket > tickets_.number()) {
-    effects.Send(id, TicketRequest{tickets_.number()});
+  if (heartbeat.ticket > tickets_.position()) {
+    effects.Send(id, TicketRequest{tickets_.position()});
   }
 }
 
@@ -109,7 +117,7 @@
 
 void Node::Handle(StreamId id, Stream& stream, const TicketText& text,
                   Effects& effects) {
-  stream.ticket = std::max(stream.ticket, text.number);
+  stream.ticket = std::max(stream.ticket, text.position());
   if (ApplyTicket(text, effects)) {
     // A process that is nearer to the store receives the ticket from there. If
     // not, it asks for it after the next heartbeat.
@@ -117,8 +125,9 @@
       const bool nearer = neighbour.hops < DistanceExcluding(other);
       if (!nearer) PushTickets(other, neighbour, effects);
     }
-  } else if (text.number > tickets_.number() && effects.rejected.empty()) {
-    effects.Send(id, TicketRequest{tickets_.number()});
+  } else if (text.position() > tickets_.position() &&
+             effects.rejected.empty()) {
+    effects.Send(id, TicketRequest{tickets_.position()});
   }
 }
 
--- a/packages/relay/src/ticket_log.cc
+++ b/packages/relay/src/ticket_log.cc
@@ -1,9 +1,23 @@
 #include "cowslip/relay/ticket_log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace cowslip::relay {
 
 bool TicketLog::Apply(const TicketText& ticket,
                       LastReason<ticket::TicketError>& reason) {
+  if (ticket.era == era_) return ApplyStored(ticket, reason);
+  if (ticket.era < era_ || !ticket.snapshot) return false;
+  TicketLog replacement;
+  replacement.era_ = ticket.era;
+  if (!replacement.ApplyStored(ticket, reason)) return false;
+  *this = std::move(replacement);
+  return true;
+}
+
+bool TicketLog::ApplyStored(const TicketText& ticket,
+                            LastReason<ticket::TicketError>& reason) {
   if (ticket.number <= number()) return false;
   const bool next = Raw(ticket.number) == Raw(number()) + 1;
   if (!next && !ticket.snapshot) return false;
@@ -19,26 +33,71 @@
   if (ticket.snapshot) {
     state_ = ticket::TicketState::FromSnapshot(*parsed);
     texts_.clear();
+    summaries_.clear();
+    for (const auto& folded : parsed->folded) Remember(folded);
     return true;
   }
   auto state = state_.Apply(*parsed, reason);
   if (!state) return false;
   state_ = std::move(*state);
   texts_.push_back(ticket);
+  texts_.back().era = era_;
   if (texts_.size() > kMaxTexts) texts_.pop_front();
+  Remember(ticket::Summarize(*parsed, ticket.text));
   return true;
 }
 
-std::vector<TicketText> TicketLog::ChangesSince(TicketNumber number) const {
+void TicketLog::Remember(ticket::FoldedTicket ticket) {
+  summaries_.push_back(std::move(ticket));
+  if (summaries_.size() > kMaxTexts) summaries_.pop_front();
+}
+
+bool TicketLog::HasOther(TicketNumber number, const std::string& digest) const {
+  return std::ranges::any_of(summaries_, [&](const auto& held) {
+    return held.number == number && held.digest != digest;
+  });
+}
+
+bool TicketLog::Contradicts(std::span<const TicketText> stored) {
+  for (const auto& text : stored) {
+    const auto digest = ticket::TicketDigest(text.text);
+    if (!text.snapshot) {
+      if (HasOther(text.number, digest)) return true;
+      continue;
+    }
+    if (digest == checked_snapshot_) continue;
+    LastReason<ticket::TicketError> ignored;  // Apply() reports it.
+    const auto parsed = ticket::ParseSnapshot(text.text, "snapshot", ignored);
+    if (!parsed) continue;
+    for (const auto& folded : parsed->folded) {
+      if (HasOther(folded.number, folded.digest)) return true;
+    }
+    checked_snapshot_ = digest;
+  }
+  return false;
+}
+
+void TicketLog::ReplaceWith(std::span<const TicketText> stored,
+                            LastReason<ticket::TicketError>& reason) {
+  TicketLog replacement;
+  replacement.era_ = era_ + 1;
+  for (const auto& text : stored) replacement.ApplyStored(text, reason);
+  *this = std::move(replacement);
+}
+
+std::vector<TicketText> TicketLog::ChangesSince(
+    const TicketPosition& position) const {
   std::vector<TicketText> newer;
-  if (number >= state_.number()) return newer;
+  if (position >= this->position()) return newer;
   const bool gap =
-      texts_.empty() || Raw(texts_.front().number) > Raw(number) + 1;
-  if (gap) {
-    return {{state_.number(), true, ticket::FormatTicket(state_.Snapshot())}};
+      texts_.empty() || Raw(texts_.front().number) > Raw(position.number) + 1;
+  if (position.era < era_ || gap) {
+    auto snapshot = state_.Snapshot();
+    snapshot.folded.assign(summaries_.begin(), summaries_.end());
+    return {{number(), true, ticket::FormatTicket(snapshot), era_}};
   }
   for (const auto& text : texts_) {
-    if (text.number > number) newer.push_back(text);
+    if (text.number > position.number) newer.push_back(text);
   }
   return newer;
 }
--- a/packages/ticket/include/cowslip/ticket/ticket.h
+++ b/packages/ticket/include/cowslip/ticket/ticket.h
@@ -35,6 +35,10 @@
 /// @return the XXH3 128-bit hash of a ticket's text, in hexadecimal.
 std::string TicketDigest(std::string_view text);
 
+/// @return the summary of a ticket, with a bounded note.
+/// @param text the ticket's text.
+FoldedTicket Summarize(const Ticket& ticket, std::string_view text);
+
 /// Parses one ticket and checks it without regard to other tickets.
 /// @param text YAML.
 /// @param file name of the file for the reason, which has the form
--- a/packages/ticket/src/ticket.cc
+++ b/packages/ticket/src/ticket.cc
@@ -249,6 +249,12 @@
   return hex.data();
 }
 
+FoldedTicket Summarize(const Ticket& ticket, std::string_view text) {
+  constexpr std::size_t kMaxNoteBytes = 120;
+  return {ticket.number, ticket.author, ticket.note.substr(0, kMaxNoteBytes),
+          TicketDigest(text)};
+}
+
 std::optional<Ticket> ParseTicket(std::string_view text, std::string_view file,
                                   LastReason<TicketError>& reason) {
   return Parse(text, file, nullptr, false, reason);
--- a/tests/process/store_restored_test.cc
+++ b/tests/process/store_restored_test.cc
@@ -33,4 +33,24 @@
   BOOST_TEST(Eventually([&] { return Posts(deployment, "after"); }));
 }
 
+// The number in force goes back from 3 to 2.
+BOOST_AUTO_TEST_CASE(AcceptedTicketReplacesLostOnes) {
+  Deployment deployment{DeploymentOptions{}};
+  BOOST_REQUIRE(deployment.Start());
+  const std::vector<std::string> names = {"balancer-1", "balancer-2",
+                                          "sidecar-11"};
+  BOOST_REQUIRE(deployment.WaitForTicket(1, names));
+  BOOST_REQUIRE(deployment.SetStoreFault("copy"));
+  ServiceOptions service;
+  service.idle_timeout = "61s";
+  BOOST_REQUIRE(deployment.SubmitTicket(2, {service}) == 0);
+  BOOST_REQUIRE(deployment.SubmitTicket(3, {service}) == 0);
+  BOOST_REQUIRE(deployment.WaitForTicket(3, names));
+  BOOST_REQUIRE(deployment.SetStoreFault("restore"));
+  service.idle_timeout = "62s";
+  BOOST_REQUIRE(deployment.SubmitTicket(2, {service}) == 0);
+  BOOST_TEST(deployment.WaitForTicket(2, names));
+  BOOST_TEST(Eventually([&] { return Posts(deployment, "served"); }));
+}
+
 }  // namespace cowslip::testing
--- a/tests/relay_simulation.h
+++ b/tests/relay_simulation.h
@@ -129,6 +129,20 @@
         std::count_if(members_.begin(), members_.end(),
                       [](const auto& member) { return member.watching; }));
   }
+  /// @return whether all nodes have the tickets of the store in force.
+  bool AllHaveTicketsOfStore() {
+    ticket::TicketState state;
+    LastReason<ticket::TicketError> reason;
+    for (const auto& text : tickets_) {
+      const auto parsed = ticket::ParseTicket(text.text, "store", reason);
+      state = state.Apply(*parsed, reason).value();
+    }
+    return std::ranges::all_of(members_, [&](const auto& member) {
+      const auto& held = member.node->tickets().state();
+      return held.number() == state.number() &&
+             held.services() == state.services();
+    });
+  }
   Node& node(std::size_t i) { return *members_[i].node; }
   std::size_t size() const { return members_.size(); }
   void Pause(std::size_t i, bool on) { members_[i].paused = on; }
@@ -146,7 +160,7 @@
   std::uint64_t store_calls = 0;
   std::uint64_t messages = 0;
   std::uint64_t message_bytes = 0;
-  bool number_decreased = false;  ///< A node's ticket number decreased.
+  bool ticket_decreased = false;  ///< A node's ticket position decreased.
 
  private:
   /// A node and the state of its process.
@@ -157,7 +171,7 @@
     bool watching = false;
     bool paused = false;
     bool cut = false;
-    TicketNumber highest_number{};
+    TicketPosition highest_ticket;
     /// The member and stream at the other end of each stream.
     std::map<StreamId, std::pair<std::size_t, StreamId>> ends;
   };
@@ -176,7 +190,8 @@
   static std::string TicketYaml(std::uint64_t number,
                                 const std::string& author) {
     return "ticket: " + std::to_string(number) + "\nauthor: " + author +
-           "\nservices:\n  - {id: 1, name: custody, address: "
+           "\nservices:\n  - {id: 1, name: " + author +
+           ", address: "
            "\"127.0.0.1:1\", protocol: datagram, prefer: balance, "
            "idle_timeout: " +
            std::to_string(1 + number % 60) + "s}\n";
@@ -200,9 +215,9 @@
     }
     event.action();
     ExecuteEffects(event.member);
-    number_decreased |= member.node->tickets().number() < member.highest_number;
-    member.highest_number =
-        std::max(member.highest_number, member.node->tickets().number());
+    const auto tickets = member.node->tickets().position();
+    ticket_decreased |= tickets < member.highest_ticket;
+    member.highest_ticket = std::max(member.highest_ticket, tickets);
   }
   void ScheduleTick(std::size_t i) {
     Post(i, now_ + std::chrono::milliseconds(50), [this, i] {
@@ -220,7 +235,7 @@
     }
     if (effects.store.read_again) ListFor(i);
     if (effects.store.read_peers) ReadPeers(i);
-    if (effects.store.read_tickets) ++store_calls;
+    if (effects.store.read_tickets) ReadTickets(i);
     for (const auto& message : effects.messages) Send(i, message);
     for (const auto& close : effects.closes) Close(i, close.stream);
     for (const auto& open : effects.opens) Open(i, open);
@@ -242,6 +257,13 @@
       });
     });
   }
+  void ReadTickets(std::size_t i) {
+    ++store_calls;
+    if (store_down || members_[i].cut) return;
+    Post(i, now_ + Delay(), [this, i, listing = Listing{tickets_, {}, index_}] {
+      members_[i].node->OnListing(listing, false, effects_);
+    });
+  }
   void NotifyWatchers() {
     for (std::size_t i = 0; i < members_.size(); ++i) {
       if (members_[i].watching && !members_[i].cut) ListFor(i);
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -122,7 +122,7 @@
   for (std::size_t i = 0; i < fleet.size(); ++i) fleet.Pause(i, false);
   fleet.SetStoreDown(false);
   BOOST_TEST(fleet.RunUntil(20, seconds(20)).count() < 20'000);
-  BOOST_TEST(!fleet.number_decreased);
+  BOOST_TEST(!fleet.ticket_decreased);
 }
 
 /// All nodes start with the same two seeds and must spread over the balancers.
@@ -345,11 +345,11 @@
 BOOST_AUTO_TEST_CASE(MessagesDecodeToTheirOriginals) {
   const Peer peer{"b1", "callao", {0x7f000001, 7}};
   const Message messages[] = {
-      Hello{peer, TicketNumber{3}, {1, 9}, {false, {ServiceId{4}}}, 2},
-      Heartbeat{TicketNumber{5}, 1},
-      TicketRequest{TicketNumber{6}},
+      Hello{peer, {4, TicketNumber{3}}, {1, 9}, {false, {ServiceId{4}}}, 2},
+      Heartbeat{{2, TicketNumber{5}}, 1},
+      TicketRequest{{1, TicketNumber{6}}},
       PeerList{{peer}},
-      TicketText{TicketNumber{7}, true, "a: \"b\"\n\\"},
+      TicketText{TicketNumber{7}, true, "a: \"b\"\n\\", 3},
       StoreEntry{"k", "v\n", {2, 8}}};
   for (const auto& message : messages) {
     const auto line = EncodeMessage(message);
