cowslipd: an incarnation that the store has lost is not claimed again

What callers saw: nothing yet. The process after one whose claim the store had lost claimed the same number (lost_incarnation_test). Both then count as one process: a permit of the first is refused by the second as unverifiable, with a challenge (4.01, "not run, ask for a permit"), where a permit of another incarnation is answered "outcome unknown". So a caller repeats a POST that may have run (Sidecar::OnNonIdempotent, by reading; no run of it).

A number that follows the stored one is new only while the store loses nothing.

Change: NextIncarnation() is the milliseconds since the epoch, or the number after the stored one if that is higher. Numbers of builds before this one are lower, so both can follow each other.

--- a/packages/daemon/include/cowslip/daemon/announcement_store.h
+++ b/packages/daemon/include/cowslip/daemon/announcement_store.h
@@ -30,7 +30,7 @@
       const settings::DaemonSettings& settings,
       LastReason<DaemonError>& reason);
 
-  /// Claims the incarnation that follows the highest one in the store.
+  /// Claims an incarnation above the one in the store.
   /// @return std::nullopt if the claim was not confirmed (store unreachable, or
   ///     another process wrote first); the caller retries.
   std::optional<Incarnation> Claim(LastReason<DaemonError>& reason);
--- a/packages/daemon/src/announcement_store.cc
+++ b/packages/daemon/src/announcement_store.cc
@@ -97,8 +97,9 @@
   }
   auto claim = announcement_;
   claim.dead = false;
-  claim.upstream.incarnation = Incarnation(Raw(previous) + 1);
   claim.started = std::chrono::system_clock::now();
+  claim.upstream.incarnation =
+      membership::NextIncarnation(previous, claim.started);
   attempted_ = claim.upstream.incarnation;
   if (!Write(key_, claim, stored.index, reason).value_or(false)) {
     return std::nullopt;
--- a/packages/membership/include/cowslip/membership/announcement.h
+++ b/packages/membership/include/cowslip/membership/announcement.h
@@ -43,4 +43,9 @@
 /// monotonic clock; a start in the future becomes `now`.
 TimePoint JoinTime(WallTime started, WallTime wall_now, TimePoint now);
 
+/// @return an incarnation for a process that claims an upstream now: above
+///     `previous`, and above all that were claimed earlier by the clock, also
+///     if the store has lost them. At least the milliseconds since the epoch.
+Incarnation NextIncarnation(Incarnation previous, WallTime now);
+
 }  // namespace cowslip::membership
--- a/packages/membership/src/announcement.cc
+++ b/packages/membership/src/announcement.cc
@@ -83,4 +83,12 @@
   return now - std::chrono::duration_cast<Duration>(age);
 }
 
+Incarnation NextIncarnation(Incarnation previous, WallTime now) {
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now.time_since_epoch());
+  const auto clock = static_cast<std::uint64_t>(
+      std::max(age.count(), std::chrono::milliseconds::rep{0}));
+  return Incarnation(std::max(Raw(previous) + 1, clock));
+}
+
 }  // namespace cowslip::membership
