--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -82,7 +82,10 @@
     self_.lease_era = era;
   }
   /// Sets the newest era of the store that this instance has seen.
-  void SetStoreEra(std::uint64_t era) { store_era_ = era; }
+  void SetStoreEra(std::uint64_t era) {
+    store_era_ = era;
+    newest_store_era_ = std::max(newest_store_era_, era);
+  }
   /// Updates the own entry and publishes it if it has changed; id is the
   /// incarnation of the upstream.
   void SetOpen(bool on, std::uint64_t id, TimePoint now);
@@ -123,6 +126,9 @@
   /// @return whether the table holds all entries of the store, as read by this
   /// instance or by one with an equal table.
   bool complete() const { return complete_; }
+  /// @return the newest era of the store that this instance or one of those
+  ///     whose messages it has received has seen.
+  std::uint64_t newest_store_era() const { return newest_store_era_; }
   /// @return the newest configuration number known to be in the store.
   std::uint64_t verified_config() const { return verified_config_; }
   /// @return time since any balancer last received a response of the store.
@@ -176,6 +182,7 @@
   bool complete_ = false;
   bool watching_ = false;
   std::uint64_t store_era_ = 0;
+  std::uint64_t newest_store_era_ = 0;
   ConfigVersion config_;
   std::uint64_t verified_config_ = 0;
   TimePoint verified_at_{};
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -161,6 +161,7 @@
   update.config = message.config;
   update.watching = message.watching;
   update.store_era = message.store_era;
+  newest_store_era_ = std::max(newest_store_era_, message.store_era);
   update.keep_document = message.keep_document;
   if (message.balancer) connected_ = true;
   const auto verified = now - message.verified_age;
