A lost version no longer withholds the copy of an older one

A sidecar withholds its copy of the configuration if it has seen a newer version in use. HeldDocument gives it out again after the store has come back, but the program told it at each tick, 20 ms later, that the lost version was in use: Sidecar::newest_config() returned what had been seen before the return. So a balancer that starts alone would get no copy, as before.

Found by reading how each part is wired.

Change: Sidecar::config_in_use() counts a version only if a balancer has used it since the return, as the refusal of SYNs does. LostVersionDoesNotCountAsInUse failed before (12 for 0) and passes.

--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -85,7 +85,11 @@
   const SidecarStats& stats() const { return stats_; }
   const LoadEstimator& load() const { return load_; }
   std::size_t flows() const { return flows_.size(); }
-  std::uint64_t newest_config() const { return newest_config_; }
+  /// @return the newest configuration that balancers are known to use, 0 if
+  ///     none has used the newest one since the store came back.
+  std::uint64_t config_in_use() const {
+    return newest_config_in_use_ ? newest_config_ : 0;
+  }
 
  private:
   /// A flow whose first request has not arrived yet.
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -188,6 +188,26 @@
   BOOST_TEST(Count(sim, CallState::kAnswered) == 60);
 }
 
+// Copies of an older version would be withheld because of it.
+BOOST_AUTO_TEST_CASE(LostVersionDoesNotCountAsInUse) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  AddService(sim, 1);
+  sim.SetRoutes(12, "vault");
+  OpenCallers(sim, 5, milliseconds(10));
+  sim.Run(seconds(1));
+  BOOST_TEST(sim.sidecar(0).config_in_use() == 12U);
+  sim.sidecar(0).OnStoreReturned();
+  sim.SetRoutes(6, "vault");
+  OpenCallers(sim, 5, milliseconds(10));
+  sim.Run(seconds(1));
+  BOOST_TEST(sim.sidecar(0).config_in_use() == 0U);
+  sim.SetRoutes(12, "vault");
+  OpenCallers(sim, 5, milliseconds(10));
+  sim.Run(seconds(1));
+  BOOST_TEST(sim.sidecar(0).config_in_use() == 12U);
+}
+
 // All machines lose power: callers get a reset within milliseconds instead of
 // waiting for their deadlines.
 BOOST_AUTO_TEST_CASE(LostFlowsAreReset) {
