The list of a store that has just come back is not complete

A balancer that starts without peers within two seconds after the return reads a list without the entries that the store has lost. It took that for the complete membership, so a packet of a flow at a missing sidecar was answered with a reset as soon as all others had denied it.

Found by asking what a process does that starts before lost entries are back.

Change: entries tell the era in which their lease was held. If all of the list are of the present era, the store has not come back since they were written, and the list is complete, as before. With an entry of an earlier era, or none at all, it is complete only if read 2 s after the first one, when lost entries are back. Entries without an era (builds before) count as before. What it costs: after a return, a balancer that starts without peers resets lost flows up to 2.1 s later; peers with a complete table make it complete at once.

ListOfAStoreThatHasJustReturnedIsNotComplete fails with the old decision (2 checks) and passes.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -97,9 +97,13 @@
   void SetConfig(const ConfigVersion& config, bool watching);
   /// Records that `config` was the newest number in the store at `now`.
   void OnStoreVersion(std::uint64_t config, TimePoint now);
-  /// Merges the entries that the store holds; the table is complete afterwards.
+  /// Merges the entries that the store holds. The table is complete afterwards,
+  /// unless the store may have come back from a copy just now: then instances
+  /// whose entries it has lost need some time to write them again, and the
+  /// store has to be read once more after it.
+  /// @param era of the store when it was read.
   MembershipUpdate OnStoreSnapshot(std::span<const PeerEntry> entries,
-                                   TimePoint now);
+                                   std::uint64_t era, TimePoint now);
   /// Removes an instance that is missing from the store.
   void Remove(InstanceAddress address) { table_.Remove(address); }
 
@@ -137,6 +141,8 @@
  private:
   void PublishSelf();
   /// Forwards a change to other balancers with the next tick.
+  bool IsOfPresentEra(std::span<const PeerEntry> entries,
+                      std::uint64_t era) const;
   void ForwardLater(InstanceAddress address);
   void ForwardChanges();
   void SendPredecessor(const PeerEntry& entry);
@@ -180,6 +186,7 @@
   TokenBucket repair_budget_{kRepairRate, kRepairBurst};
   bool connected_ = false;  ///< A balancer has answered since the start.
   bool complete_ = false;
+  std::optional<TimePoint> first_snapshot_at_;
   bool watching_ = false;
   std::uint64_t store_era_ = 0;
   std::uint64_t newest_store_era_ = 0;
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -12,6 +12,9 @@
 /// without a comparison of its parts.
 constexpr std::size_t kMaxEntriesPerBucket = 2;
 
+/// Time after its return within which the store has all entries again.
+constexpr std::chrono::seconds kEntryRestoreTime{2};
+
 /// @return the order in which changes are forwarded: first those after which an
 /// instance must not be used, then those of new processes.
 int UrgencyOf(const PeerEntry* entry) {
@@ -145,10 +148,26 @@
   if (result == MergeResult::kStarted) update.started.push_back(entry.address);
 }
 
+/// @return whether the store has not come back from a copy since an instance
+///     wrote its entry. Builds before eras were introduced write none.
+bool Gossip::IsOfPresentEra(std::span<const PeerEntry> entries,
+                            std::uint64_t era) const {
+  const auto is_other = [this](const PeerEntry& entry) {
+    return entry.address != self_.address;
+  };
+  const auto is_earlier = [&](const PeerEntry& entry) {
+    return is_other(entry) && entry.lease_era != 0 && entry.lease_era < era;
+  };
+  return std::ranges::any_of(entries, is_other) &&
+         std::ranges::none_of(entries, is_earlier);
+}
+
 MembershipUpdate Gossip::OnStoreSnapshot(std::span<const PeerEntry> entries,
-                                         TimePoint now) {
+                                         std::uint64_t era, TimePoint now) {
   now_ = now;
-  complete_ = true;
+  if (!first_snapshot_at_) first_snapshot_at_ = now;
+  complete_ |= IsOfPresentEra(entries, era) ||
+               now - *first_snapshot_at_ > kEntryRestoreTime;
   MembershipUpdate update;
   for (const auto& entry : entries) MergeEntry(entry, update);
   return update;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -89,7 +89,7 @@
   fleet.Run(seconds(1));
   for (int i = 1; i <= 4; ++i) BOOST_TEST(!fleet.At(i).complete());
   const std::vector<PeerEntry> stored{MakeEntry(200, false, 1)};
-  fleet.At(2).OnStoreSnapshot(stored, fleet.now());
+  fleet.At(2).OnStoreSnapshot(stored, 0, fleet.now());
   fleet.Run(seconds(2));
   for (int i = 1; i <= 4; ++i) {
     BOOST_TEST(fleet.At(i).complete());
@@ -260,4 +260,33 @@
   BOOST_TEST(!record.MayHaveServed({8, seconds(30)}, from_peers, 2));
 }
 
+// A balancer that takes the list for complete resets the flows of sidecars that
+// are not in it.
+BOOST_AUTO_TEST_CASE(ListOfAStoreThatHasJustReturnedIsNotComplete) {
+  constexpr std::uint64_t kEra = 4;
+  Gossip gossip(MakeEntry(1, true, 1), 1);
+  auto kept = MakeEntry(200, false, 1);
+  kept.lease_era = kEra - 1;
+  auto lost = MakeEntry(201, false, 1);
+  lost.lease_era = kEra;
+  TimePoint now{seconds(50)};
+  gossip.OnStoreSnapshot(std::vector{kept}, kEra, now);
+  BOOST_TEST(!gossip.complete());
+  gossip.OnStoreSnapshot(std::vector{kept, lost}, kEra, now + seconds(1));
+  BOOST_TEST(!gossip.complete());
+  gossip.OnStoreSnapshot(std::vector{kept, lost}, kEra,
+                         now + milliseconds(2100));
+  BOOST_TEST(gossip.complete());
+}
+
+BOOST_AUTO_TEST_CASE(ListOfThePresentEraIsCompleteAtOnce) {
+  for (const std::uint64_t written_in : {0, 4}) {
+    Gossip gossip(MakeEntry(1, true, 1), 1);
+    auto entry = MakeEntry(200, false, 1);
+    entry.lease_era = written_in;
+    gossip.OnStoreSnapshot(std::vector{entry}, 4, TimePoint{seconds(50)});
+    BOOST_TEST(gossip.complete());
+  }
+}
+
 }  // namespace cowslip::peers
