cowslipd: an instance record that the store has lost is written again

What callers saw: nothing. In the test, a balancer whose record was written after the copy stayed without one for as long as it ran, so the other processes neither followed it nor counted it among the watchers.

The record was written once, at the start.

LostInstanceRecordIsWrittenAgain failed before and passes; a fleet at rest makes no further store calls (60 s in the same test).

--- a/packages/relay/include/cowslip/relay/effects.h
+++ b/packages/relay/include/cowslip/relay/effects.h
@@ -52,7 +52,8 @@
   bool stop_watch = false;
   /// Read all keys again at once, as if the watch had just started.
   bool read_again = false;
-  /// List the data centre's instance records, for Node::OnPeersRead().
+  /// List the data centre's instance records, for Node::OnPeersRead(). A
+  /// process that is no leaf writes its own if it is missing.
   bool read_peers = false;
   /// List the tickets once, for Node::OnListing().
   bool read_tickets = false;
--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -116,6 +116,7 @@
   // Steps of OnTick() and their helpers.
   void MaintainStreams(TimePoint now, Effects& effects);
   void StartOrStopWatch(TimePoint now, Effects& effects);
+  void CheckOwnRecord(TimePoint now, Effects& effects);
   void OpenMissingStream(TimePoint now, Effects& effects);
   void ReadMissingTicket(TimePoint now, Effects& effects);
   bool ShouldWatch(TimePoint now);
@@ -160,6 +161,7 @@
   std::optional<TicketPosition> contradicted_;
   TimePoint noticed_at_;
   TimePoint next_ticket_read_;
+  TimePoint next_record_check_;
 };
 
 }  // namespace cowslip::relay
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -21,7 +21,8 @@
       next_reparent_(now),
       last_connected_(now),
       last_store_path_(now),
-      next_ticket_read_(now) {
+      next_ticket_read_(now),
+      next_record_check_(now + options.max_retry) {
   unconnected_timeout_ = AddJitter(options_.store_fallback_delay);
   std::shuffle(options_.seeds.begin(), options_.seeds.end(), random_);
 }
@@ -178,6 +179,7 @@
 void Node::OnTick(TimePoint now, Effects& effects) {
   MaintainStreams(now, effects);
   StartOrStopWatch(now, effects);
+  CheckOwnRecord(now, effects);
   OpenMissingStream(now, effects);
   OpenPreferredStream(now, effects);
   ReadMissingTicket(now, effects);
--- a/packages/relay/src/node_maintenance.cc
+++ b/packages/relay/src/node_maintenance.cc
@@ -94,6 +94,17 @@
   }
 }
 
+/// Writes the own instance record again if the store has lost it: others find
+/// this process by it.
+void Node::CheckOwnRecord(TimePoint now, Effects& effects) {
+  if (options_.leaf || now < next_record_check_) return;
+  next_record_check_ = now + AddJitter(options_.max_retry);
+  const auto record = items_.items().find(InstanceKey(options_.self));
+  const bool stored = record != items_.items().end() &&
+                      record->second.value == EncodePeer(options_.self);
+  if (!stored) effects.store.read_peers = true;
+}
+
 std::vector<Endpoint> Node::StreamCandidates() const {
   std::vector<Endpoint> candidates;
   const auto add = [&](const Endpoint& control) {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -284,6 +284,25 @@
   }
 }
 
+// The copy is older than the start of the balancer.
+BOOST_AUTO_TEST_CASE(LostInstanceRecordIsWrittenAgain) {
+  RelaySimulation fleet(15);
+  AddMembers(fleet, 6, 0);
+  const auto copy = fleet.CopyStore();
+  const auto late = fleet.AddBalancer();
+  fleet.Run(kSettleTime);
+  const auto key =
+      InstanceKey({"b" + std::to_string(late), "callao", Endpoint{}});
+  BOOST_REQUIRE(fleet.items().contains(key));
+  fleet.RestoreStore(copy);
+  BOOST_REQUIRE(!fleet.items().contains(key));
+  fleet.Run(seconds(15));
+  BOOST_TEST(fleet.items().contains(key));
+  const auto calls_before = fleet.store_calls;
+  fleet.Run(seconds(60));
+  BOOST_TEST(fleet.store_calls == calls_before);
+}
+
 // Random writes, returns from copies, outages, restarts and duplicates.
 BOOST_DATA_TEST_CASE(NodesAgreeWithARestoredStore, data::xrange(1, 31), seed) {
   RelaySimulation fleet(static_cast<std::uint64_t>(seed));
