--- a/packages/relay/src/ticket_log.cc
+++ b/packages/relay/src/ticket_log.cc
@@ -59,7 +59,11 @@
 }
 
 bool TicketLog::Contradicts(std::span<const TicketText> stored) {
+  TicketNumber folded_through{};
   for (const auto& text : stored) {
+    if (text.snapshot) folded_through = text.number;
+    // A late write under a number that the snapshot has replaced has no effect.
+    if (!text.snapshot && text.number <= folded_through) continue;
     const auto digest = ticket::TicketDigest(text.text);
     if (!text.snapshot) {
       if (HasOther(text.number, digest)) return true;
--- a/tests/lost_ticket_test.cc
+++ b/tests/lost_ticket_test.cc
@@ -140,6 +140,24 @@
   BOOST_TEST((node.tickets().position() == peer.position()));
 }
 
+// An operator who had read the store before a compaction writes a number that
+// the snapshot covers.
+BOOST_AUTO_TEST_CASE(LateWriteBelowTheSnapshotReplacesNothing) {
+  const std::string accepted = "ticket: 1\nauthor: a\n";
+  TicketLog log;
+  LastReason<ticket::TicketError> reason;
+  BOOST_REQUIRE(log.ApplyStored({TicketNumber{1}, false, accepted}, reason));
+  ticket::Ticket snapshot;
+  snapshot.number = TicketNumber{1};
+  snapshot.author = "snapshot";
+  snapshot.folded = {
+      {TicketNumber{1}, "a", "", ticket::TicketDigest(accepted)}};
+  const std::vector<TicketText> stored{
+      {TicketNumber{1}, true, ticket::FormatTicket(snapshot)},
+      {TicketNumber{1}, false, "ticket: 1\nauthor: late\n"}};
+  BOOST_TEST(!log.Contradicts(stored));
+}
+
 // Random tickets, returns from copies, outages, restarts and duplicates.
 BOOST_DATA_TEST_CASE(TicketsOfARestoredStoreAreInForce, data::xrange(1, 41),
                      seed) {
