cowslipctl: a compaction stops if the store has lost what it folds

A ticket's key was deleted if its modification index was the one that had been read, but the store assigns indexes again.

What remains is a return within one round trip.

--- a/packages/registry/include/cowslip/registry/compaction.h
+++ b/packages/registry/include/cowslip/registry/compaction.h
@@ -41,7 +41,18 @@
     std::uint64_t index = 0;  ///< Modification index of the ticket's key.
   };
 
+  /// A ticket that the snapshot replaces.
+  struct PlannedTicket {
+    TicketNumber number{};
+    std::string digest;
+  };
+
   Compaction(TicketRegistry& registry, const History& history);
+  /// @return whether the store still has the tickets that the snapshot folds.
+  bool TicketsAreAsPlanned(Reason& reason);
+  /// @return whether the store has a snapshot that covers the number, so that
+  ///     readers ignore the ticket's key.
+  bool SnapshotCovers(TicketNumber number, Reason& reason);
   bool WriteSnapshot(Reason& reason);
   bool DeleteNext(Reason& reason);
 
@@ -51,6 +62,10 @@
   bool snapshot_written_;
   std::vector<ObsoleteTicket> obsolete_;
   std::size_t next_obsolete_ = 0;
+  std::vector<PlannedTicket> folded_;
+  /// The snapshot that SnapshotCovers() has read last.
+  std::string covering_text_;
+  TicketNumber covered_through_{};
 };
 
 }  // namespace cowslip::registry
--- a/packages/registry/src/compaction.cc
+++ b/packages/registry/src/compaction.cc
@@ -42,7 +42,11 @@
       snapshot_index_(history.snapshot_index),
       snapshot_written_(history.snapshot == history.state.number()) {
   for (const auto& [number, stored] : history.tickets) {
-    if (number <= snapshot_.number) obsolete_.push_back({number, stored.index});
+    if (number > snapshot_.number) continue;
+    obsolete_.push_back({number, stored.index});
+    if (number > history.snapshot) {
+      folded_.push_back({number, ticket::TicketDigest(stored.text)});
+    }
   }
 }
 
@@ -51,7 +55,43 @@
   return snapshot_written_ ? DeleteNext(reason) : WriteSnapshot(reason);
 }
 
+/// The store may have come back from an older copy since the plan was made,
+/// with other tickets under the same numbers and modification indexes.
+bool Compaction::TicketsAreAsPlanned(Reason& reason) {
+  const auto history = registry_->Read(reason);
+  if (!history) return false;
+  const bool same = std::ranges::all_of(folded_, [&](const auto& planned) {
+    return history->DigestAt(planned.number) == planned.digest;
+  });
+  if (!same) {
+    reason.Set(RegistryError::kNumberTaken, "the tickets have changed");
+  }
+  return same;
+}
+
+bool Compaction::SnapshotCovers(TicketNumber number, Reason& reason) {
+  LastReason<ConsulError> store_reason;
+  const auto stored =
+      registry_->client().Get(ticket::SnapshotKey(), store_reason);
+  if (!stored) {
+    reason.Set(RegistryError::kUnavailable, store_reason.Message());
+    return false;
+  }
+  const auto text = stored->value ? stored->value->value : "";
+  if (text != covering_text_) {
+    LastReason<ticket::TicketError> ignored;
+    const auto snapshot =
+        ticket::ParseSnapshot(text, ticket::SnapshotKey(), ignored);
+    covered_through_ = snapshot ? snapshot->number : TicketNumber{};
+    covering_text_ = text;
+  }
+  if (number <= covered_through_) return true;
+  reason.Set(RegistryError::kNumberTaken, "the store has lost the snapshot");
+  return false;
+}
+
 bool Compaction::WriteSnapshot(Reason& reason) {
+  if (!TicketsAreAsPlanned(reason)) return false;
   LastReason<ConsulError> store_reason;
   const auto result = registry_->client().PutCas(
       ticket::SnapshotKey(), ticket::FormatTicket(snapshot_), snapshot_index_,
@@ -70,8 +110,9 @@
 }
 
 bool Compaction::DeleteNext(Reason& reason) {
-  LastReason<ConsulError> store_reason;
   const auto& obsolete = obsolete_[next_obsolete_];
+  if (!SnapshotCovers(obsolete.number, reason)) return false;
+  LastReason<ConsulError> store_reason;
   const auto result = registry_->client().DeleteCas(
       ticket::TicketKey(obsolete.number), obsolete.index, store_reason);
   if (!result) {
--- a/tests/registry_test.cc
+++ b/tests/registry_test.cc
@@ -39,6 +39,8 @@
     return TicketRegistry(*consul::StoreClient::Create(options, reason));
   }
 
+  standin::Store& contents() { return store_; }
+
   std::atomic<int> lost_answers{0};  ///< Writes whose answers are to be lost.
 
  private:
@@ -209,6 +211,33 @@
   BOOST_TEST((reason.code() == RegistryError::kNumberTaken));
 }
 
+/// The store loses ticket 3 after it was read, and gives its modification index
+/// to another ticket 3.
+BOOST_DATA_TEST_CASE(CompactionDoesNotDeleteATicketThatItHasNotFolded,
+                     data::xrange(0, 4), steps) {
+  TestStore store;
+  auto registry = store.Open();
+  SubmitRange(registry, 1, 2);
+  store.contents().SaveCopy();
+  SubmitRange(registry, 3, 3);
+  Reason reason;
+  auto compaction = Compaction::Plan(registry, reason);
+  BOOST_REQUIRE(compaction.has_value());
+  for (int i = 0; i < steps; ++i) BOOST_REQUIRE(compaction->Step(reason));
+  if (steps > 0) {
+    // The snapshot of the lost ticket is lost too.
+    BOOST_REQUIRE(!compaction->done());
+  }
+  store.contents().RestoreCopy();
+  BOOST_REQUIRE(
+      registry.Submit(TicketYaml(3, "nguyen"), "t.yaml", reason).has_value());
+  while (!compaction->done() && compaction->Step(reason)) continue;
+  BOOST_TEST(!compaction->done());
+  const auto history = registry.Read(reason);
+  BOOST_REQUIRE(history.has_value());
+  BOOST_TEST(history->AuthorAt(TicketNumber{3}) == "nguyen");
+}
+
 /// During submissions and compactions the number of the state that readers see
 /// never decreases.
 BOOST_AUTO_TEST_CASE(NumberNeverDecreasesForReadersDuringCompaction) {
