After a return, lost flows of machines that lose power are reset at once again

Cause: every entry of before the return counted as outdated, so all sidecars that had just started left open whether their upstream, which had started with them, had flows; and the list counted as incomplete for 2 s.

Change: an outdated entry, like a missing one, leaves it open only if the upstream is older than the process by more than 2 s; the two start together otherwise. And a list is complete as soon as all instances of its outdated entries have started anew, since those that are missing from it have done so too.

ListIsCompleteOnceAllItsInstancesHaveStartedAnew and the new line of EntryOfAnEarlierEraDoesNotTellThePredecessorsUpstream fail without them.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -141,8 +141,13 @@
  private:
   void PublishSelf();
   /// Forwards a change to other balancers with the next tick.
-  bool IsOfPresentEra(std::span<const PeerEntry> entries,
-                      std::uint64_t era) const;
+  /// @return the entries of other instances that were written before the store
+  ///     last came back from a copy.
+  std::vector<PeerEntry> EntriesBefore(
+      std::uint64_t era, std::span<const PeerEntry> entries) const;
+  /// The table is complete once all instances of an outdated list have started
+  /// anew: those that are missing from it have done so too.
+  void CompleteAfterRestarts();
   void ForwardLater(InstanceAddress address);
   void ForwardChanges();
   void SendPredecessor(const PeerEntry& entry);
@@ -187,6 +192,9 @@
   bool connected_ = false;  ///< A balancer has answered since the start.
   bool complete_ = false;
   std::optional<TimePoint> first_snapshot_at_;
+  /// Entries of the last snapshot from an earlier era of the store, less those
+  /// of instances that have started anew.
+  std::vector<PeerEntry> outdated_entries_;
   bool watching_ = false;
   std::uint64_t store_era_ = 0;
   std::uint64_t newest_store_era_ = 0;
--- a/packages/peers/include/cowslip/peers/predecessor_record.h
+++ b/packages/peers/include/cowslip/peers/predecessor_record.h
@@ -24,8 +24,8 @@
   void OnStored(const std::optional<PeerEntry>& entry);
   /// @param from_peers entry of an earlier process that peers have sent.
   /// @param era newest era of the store that is known.
-  /// @return whether an earlier process may have served the upstream. What the
-  ///     store held before it came back from a copy may have been newer.
+  /// @return whether an earlier process may have served the upstream, also if
+  ///     the store has lost its entry or its last change.
   bool MayHaveServed(const ServedUpstream& upstream,
                      const std::optional<PeerEntry>& from_peers,
                      std::uint64_t era) const;
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bitset>
+#include <iterator>
 
 #include "cowslip/peers/document_holders.h"
 
@@ -148,28 +149,40 @@
   if (result == MergeResult::kStarted) update.started.push_back(entry.address);
 }
 
-/// @return whether the store has not come back from a copy since an instance
-///     wrote its entry. Builds before eras were introduced write none.
-bool Gossip::IsOfPresentEra(std::span<const PeerEntry> entries,
-                            std::uint64_t era) const {
-  const auto is_other = [this](const PeerEntry& entry) {
-    return entry.address != self_.address;
-  };
-  const auto is_earlier = [&](const PeerEntry& entry) {
-    return is_other(entry) && entry.lease_era != 0 && entry.lease_era < era;
-  };
-  return std::ranges::any_of(entries, is_other) &&
-         std::ranges::none_of(entries, is_earlier);
+/// Builds before eras were introduced write none.
+std::vector<PeerEntry> Gossip::EntriesBefore(
+    std::uint64_t era, std::span<const PeerEntry> entries) const {
+  std::vector<PeerEntry> earlier;
+  std::ranges::copy_if(entries, std::back_inserter(earlier), [&](auto& entry) {
+    return entry.address != self_.address && entry.lease_era != 0 &&
+           entry.lease_era < era;
+  });
+  return earlier;
+}
+
+void Gossip::CompleteAfterRestarts() {
+  if (complete_ || outdated_entries_.empty()) return;
+  std::erase_if(outdated_entries_, [this](const PeerEntry& entry) {
+    const auto* present = table_.Find(entry.address);
+    return present != nullptr && present->incarnation > entry.incarnation;
+  });
+  complete_ = outdated_entries_.empty();
 }
 
 MembershipUpdate Gossip::OnStoreSnapshot(std::span<const PeerEntry> entries,
                                          std::uint64_t era, TimePoint now) {
   now_ = now;
   if (!first_snapshot_at_) first_snapshot_at_ = now;
-  complete_ |= IsOfPresentEra(entries, era) ||
+  outdated_entries_ = EntriesBefore(era, entries);
+  const bool has_others =
+      std::ranges::any_of(entries, [this](const PeerEntry& entry) {
+        return entry.address != self_.address;
+      });
+  complete_ |= (has_others && outdated_entries_.empty()) ||
                now - *first_snapshot_at_ > kEntryRestoreTime;
   MembershipUpdate update;
   for (const auto& entry : entries) MergeEntry(entry, update);
+  CompleteAfterRestarts();
   return update;
 }
 
@@ -195,6 +208,7 @@
     const bool changed = update.changed.size() > changed_before;
     if (self_.balancer && changed && from_owner) ForwardLater(entry.address);
   }
+  CompleteAfterRestarts();
   if (!message.ranges.empty()) CompareRanges(message);
   if (!self_.balancer) return update;
   SendStoreEra(message);
--- a/packages/peers/src/predecessor_record.cc
+++ b/packages/peers/src/predecessor_record.cc
@@ -3,14 +3,19 @@
 namespace cowslip::peers {
 namespace {
 
-/// Instance and upstream of a new machine start within this time of each other.
-constexpr std::chrono::seconds kJointStart{5};
+/// Instance and upstream of a machine that starts do so within this time of
+/// each other. An older upstream was served by an earlier process.
+constexpr std::chrono::seconds kJointStart{2};
 
-bool MayBeOf(const std::optional<PeerEntry>& entry, std::uint64_t upstream,
-             std::uint64_t era) {
-  if (!entry) return false;
-  const bool outdated = entry->lease_era != 0 && entry->lease_era < era;
-  return outdated || entry->upstream == 0 || entry->upstream == upstream;
+/// @return whether the process of the entry may have served the upstream. An
+///     entry of an earlier era may be older than the last of its process.
+bool HasServed(const PeerEntry& entry, const ServedUpstream& upstream,
+               std::uint64_t era) {
+  if (entry.upstream == 0 || entry.upstream == upstream.incarnation) {
+    return true;
+  }
+  const bool outdated = entry.lease_era != 0 && entry.lease_era < era;
+  return outdated && upstream.lead > kJointStart;
 }
 
 }  // namespace
@@ -24,11 +29,9 @@
     const ServedUpstream& upstream, const std::optional<PeerEntry>& from_peers,
     std::uint64_t era) const {
   if (!known_) return true;
-  // An upstream that is much older than the process was served by another one,
-  // whose entry the store has lost.
-  const bool lost = !stored_ && !from_peers && upstream.lead > kJointStart;
-  return lost || MayBeOf(stored_, upstream.incarnation, era) ||
-         MayBeOf(from_peers, upstream.incarnation, era);
+  if (!stored_ && !from_peers) return upstream.lead > kJointStart;
+  return (stored_ && HasServed(*stored_, upstream, era)) ||
+         (from_peers && HasServed(*from_peers, upstream, era));
 }
 
 }  // namespace cowslip::peers
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -243,17 +243,21 @@
   record.OnStored(entry);
   BOOST_TEST(!record.MayHaveServed({8, {}}, {}, kEra));
   BOOST_TEST(record.MayHaveServed({7, {}}, {}, kEra));
-  BOOST_TEST(record.MayHaveServed({8, {}}, {}, kEra + 1));
+  const ServedUpstream older{8, seconds(4)};
+  BOOST_TEST(!record.MayHaveServed(older, {}, kEra));
+  BOOST_TEST(record.MayHaveServed(older, {}, kEra + 1));
+  // All of a machine has started anew.
+  BOOST_TEST(!record.MayHaveServed({8, milliseconds(40)}, {}, kEra + 1));
   auto from_peers = entry;
   from_peers.lease_era = kEra - 1;
-  BOOST_TEST(record.MayHaveServed({8, {}}, from_peers, kEra));
+  BOOST_TEST(record.MayHaveServed(older, from_peers, kEra));
 }
 
 BOOST_AUTO_TEST_CASE(OldUpstreamHadAPredecessorThatTheStoreHasLost) {
   PredecessorRecord record;
   record.OnStored(std::nullopt);
   BOOST_TEST(!record.MayHaveServed({8, seconds(-2)}, {}, 2));
-  BOOST_TEST(!record.MayHaveServed({8, seconds(3)}, {}, 2));
+  BOOST_TEST(!record.MayHaveServed({8, seconds(1)}, {}, 2));
   BOOST_TEST(record.MayHaveServed({8, seconds(30)}, {}, 2));
   PeerEntry from_peers;
   from_peers.upstream = 7;
@@ -279,6 +283,26 @@
   BOOST_TEST(gossip.complete());
 }
 
+// All machines lose power: lost flows are reset without waiting for the store.
+BOOST_AUTO_TEST_CASE(ListIsCompleteOnceAllItsInstancesHaveStartedAnew) {
+  Gossip gossip(MakeEntry(1, true, 1), 1);
+  std::vector<PeerEntry> stored;
+  for (const InstanceAddress address : {200, 201}) {
+    stored.push_back(MakeEntry(address, false, 1));
+    stored.back().lease_era = 3;
+  }
+  const TimePoint now{seconds(50)};
+  gossip.OnStoreSnapshot(stored, 4, now);
+  for (const auto& entry : stored) {
+    BOOST_TEST(!gossip.complete());
+    Message message;
+    message.sender = entry.address;
+    message.entries = {MakeEntry(entry.address, false, 2)};
+    gossip.OnMessage(message, now + milliseconds(50));
+  }
+  BOOST_TEST(gossip.complete());
+}
+
 BOOST_AUTO_TEST_CASE(ListOfThePresentEraIsCompleteAtOnce) {
   for (const std::uint64_t written_in : {0, 4}) {
     Gossip gossip(MakeEntry(1, true, 1), 1);
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -321,7 +321,8 @@
   });
   successor.Publish(entry);
   BOOST_REQUIRE(RunUntil(loop, kShortTime, [&] { return reported; }));
-  BOOST_TEST(predecessor.MayHaveServed({8, {}}, {}, new_client.era()));
+  BOOST_TEST(
+      predecessor.MayHaveServed({8, milliseconds(4000)}, {}, new_client.era()));
 }
 
 }  // namespace cowslip::platform_adapter::test
