One check whether an entry was written before the store came back

Gossip and PredecessorRecord compared the era of the lease alike; PeerEntry::WrittenBefore() serves both. A comment of ForwardLater() had ended up over another function. No change of behaviour; peers_test and gossip_repair_test pass.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -140,7 +140,6 @@
 
  private:
   void PublishSelf();
-  /// Forwards a change to other balancers with the next tick.
   /// @return the entries of other instances that were written before the store
   ///     last came back from a copy.
   std::vector<PeerEntry> EntriesBefore(
@@ -148,6 +147,7 @@
   /// The table is complete once all instances of an outdated list have started
   /// anew: those that are missing from it have done so too.
   void CompleteAfterRestarts();
+  /// Forwards a change to other balancers with the next tick.
   void ForwardLater(InstanceAddress address);
   void ForwardChanges();
   void SendPredecessor(const PeerEntry& entry);
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -30,6 +30,12 @@
       false;  ///< The sidecar has no upstream, so it owns no flows.
 
   bool operator==(const PeerEntry&) const = default;
+  /// @return whether the store has come back from a copy since the entry was
+  ///     written. Builds before eras were introduced write none, so that it is
+  ///     not known.
+  bool WrittenBefore(std::uint64_t era) const {
+    return lease_era != 0 && lease_era < era;
+  }
   /// @return whether this version was published after the other one.
   bool NewerThan(const PeerEntry& other) const {
     if (incarnation != other.incarnation) {
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -149,13 +149,11 @@
   if (result == MergeResult::kStarted) update.started.push_back(entry.address);
 }
 
-/// Builds before eras were introduced write none.
 std::vector<PeerEntry> Gossip::EntriesBefore(
     std::uint64_t era, std::span<const PeerEntry> entries) const {
   std::vector<PeerEntry> earlier;
   std::ranges::copy_if(entries, std::back_inserter(earlier), [&](auto& entry) {
-    return entry.address != self_.address && entry.lease_era != 0 &&
-           entry.lease_era < era;
+    return entry.address != self_.address && entry.WrittenBefore(era);
   });
   return earlier;
 }
--- a/packages/peers/src/predecessor_record.cc
+++ b/packages/peers/src/predecessor_record.cc
@@ -14,8 +14,7 @@
   if (entry.upstream == 0 || entry.upstream == upstream.incarnation) {
     return true;
   }
-  const bool outdated = entry.lease_era != 0 && entry.lease_era < era;
-  return outdated && upstream.lead > kJointStart;
+  return entry.WrittenBefore(era) && upstream.lead > kJointStart;
 }
 
 }  // namespace
