--- a/packages/registry/include/cowslip/registry/compaction.h
+++ b/packages/registry/include/cowslip/registry/compaction.h
@@ -39,12 +39,8 @@
   struct ObsoleteTicket {
     TicketNumber number{};
     std::uint64_t index = 0;  ///< Modification index of the ticket's key.
-  };
-
-  /// A ticket that the snapshot replaces.
-  struct PlannedTicket {
-    TicketNumber number{};
-    std::string digest;
+    /// Of the ticket that was accepted under the number, see History.
+    std::optional<std::string> digest;
   };
 
   Compaction(TicketRegistry& registry, const History& history);
@@ -62,7 +58,6 @@
   bool snapshot_written_;
   std::vector<ObsoleteTicket> obsolete_;
   std::size_t next_obsolete_ = 0;
-  std::vector<PlannedTicket> folded_;
   /// The snapshot that SnapshotCovers() has read last.
   std::string covering_text_;
   TicketNumber covered_through_{};
--- a/packages/registry/src/compaction.cc
+++ b/packages/registry/src/compaction.cc
@@ -43,10 +43,7 @@
       snapshot_written_(history.snapshot == history.state.number()) {
   for (const auto& [number, stored] : history.tickets) {
     if (number > snapshot_.number) continue;
-    obsolete_.push_back({number, stored.index});
-    if (number > history.snapshot) {
-      folded_.push_back({number, ticket::TicketDigest(stored.text)});
-    }
+    obsolete_.push_back({number, stored.index, history.DigestAt(number)});
   }
 }
 
@@ -60,7 +57,7 @@
 bool Compaction::TicketsAreAsPlanned(Reason& reason) {
   const auto history = registry_->Read(reason);
   if (!history) return false;
-  const bool same = std::ranges::all_of(folded_, [&](const auto& planned) {
+  const bool same = std::ranges::all_of(obsolete_, [&](const auto& planned) {
     return history->DigestAt(planned.number) == planned.digest;
   });
   if (!same) {
