Listings are compared with the tickets in force without hashing all of them

Every listing, also one for a changed announcement, hashed the texts of all stored tickets, of which at most the 64 latest can be compared. Now only those are hashed. A text that was applied is reported in one place, for tickets from peers, from the store and for those that replace others.

--- a/packages/relay/include/cowslip/relay/node.h
+++ b/packages/relay/include/cowslip/relay/node.h
@@ -95,9 +95,11 @@
   bool ApplyTicket(const TicketText& text, Effects& effects);
   void ApplyStoredTickets(const std::vector<TicketText>& stored, bool complete,
                           Effects& effects);
-  void ApplyStoredTicket(const TicketText& text, Effects& effects);
-  /// Reports the ticket in force unless it is still the previous one.
-  void ReportInForce(const TicketPosition& previous, Effects& effects);
+  /// Reports the ticket in force unless it is still the previous one, and the
+  /// ticket that was applied if it was rejected.
+  void ReportChange(const TicketPosition& previous, TicketNumber applied,
+                    const LastReason<ticket::TicketError>& reason,
+                    Effects& effects);
   /// Handles the tickets that were read because of noticed_ticket_: if the
   /// store doesn't have it, it is lost, and waiting for it would not end.
   void ForgetMissingTicket(const std::vector<TicketText>& stored);
--- a/packages/relay/include/cowslip/relay/ticket_log.h
+++ b/packages/relay/include/cowslip/relay/ticket_log.h
@@ -60,8 +60,11 @@
   const ticket::TicketState& state() const { return state_; }
 
  private:
-  /// @return whether another ticket is known to be in force under this number.
-  bool HasOther(TicketNumber number, const std::string& digest) const;
+  /// @return the ticket that is known to be in force under this number, nullptr
+  ///     if none is.
+  const ticket::FoldedTicket* Find(TicketNumber number) const;
+  /// @return whether another ticket is known to be in force under its number.
+  bool HasOther(const ticket::FoldedTicket& ticket) const;
   void Remember(ticket::FoldedTicket ticket);
 
   ticket::TicketState state_;
--- a/packages/relay/src/node.cc
+++ b/packages/relay/src/node.cc
@@ -86,7 +86,12 @@
                               bool complete, Effects& effects) {
   if (!tickets_.Contradicts(stored)) {
     contradicted_.reset();
-    for (const auto& text : stored) ApplyStoredTicket(text, effects);
+    for (const auto& text : stored) {
+      const auto previous = tickets_.position();
+      LastReason<ticket::TicketError> reason;
+      tickets_.ApplyStored(text, reason);
+      ReportChange(previous, text.number, reason, effects);
+    }
     return;
   }
   const auto previous = tickets_.position();
@@ -99,18 +104,8 @@
   contradicted_.reset();
   LastReason<ticket::TicketError> reason;
   tickets_.ReplaceWith(stored, reason);
-  ReportInForce(previous, effects);
-  if (reason.ok()) return;
   const TicketNumber next{Raw(tickets_.number()) + 1};
-  effects.rejected.push_back({next, reason.Message()});
-}
-
-void Node::ApplyStoredTicket(const TicketText& text, Effects& effects) {
-  const auto previous = tickets_.position();
-  LastReason<ticket::TicketError> reason;
-  tickets_.ApplyStored(text, reason);
-  ReportInForce(previous, effects);
-  if (!reason.ok()) effects.rejected.push_back({text.number, reason.Message()});
+  ReportChange(previous, next, reason, effects);
 }
 
 void Node::ForgetMissingTicket(const std::vector<TicketText>& stored) {
--- a/packages/relay/src/node_messages.cc
+++ b/packages/relay/src/node_messages.cc
@@ -14,12 +14,14 @@
   const auto previous = tickets_.position();
   LastReason<ticket::TicketError> reason;
   const bool applied = tickets_.Apply(text, reason);
-  if (applied) ReportInForce(previous, effects);
-  if (!reason.ok()) effects.rejected.push_back({text.number, reason.Message()});
+  ReportChange(previous, text.number, reason, effects);
   return applied;
 }
 
-void Node::ReportInForce(const TicketPosition& previous, Effects& effects) {
+void Node::ReportChange(const TicketPosition& previous, TicketNumber applied,
+                        const LastReason<ticket::TicketError>& reason,
+                        Effects& effects) {
+  if (!reason.ok()) effects.rejected.push_back({applied, reason.Message()});
   const auto present = tickets_.position();
   if (present == previous) return;
   effects.in_force.push_back(present.number);
--- a/packages/relay/src/ticket_log.cc
+++ b/packages/relay/src/ticket_log.cc
@@ -52,10 +52,15 @@
   if (summaries_.size() > kMaxTexts) summaries_.pop_front();
 }
 
-bool TicketLog::HasOther(TicketNumber number, const std::string& digest) const {
-  return std::ranges::any_of(summaries_, [&](const auto& held) {
-    return held.number == number && held.digest != digest;
-  });
+const ticket::FoldedTicket* TicketLog::Find(TicketNumber number) const {
+  const auto held =
+      std::ranges::find(summaries_, number, &ticket::FoldedTicket::number);
+  return held == summaries_.end() ? nullptr : &*held;
+}
+
+bool TicketLog::HasOther(const ticket::FoldedTicket& ticket) const {
+  const auto* held = Find(ticket.number);
+  return held != nullptr && held->digest != ticket.digest;
 }
 
 bool TicketLog::Contradicts(std::span<const TicketText> stored) {
@@ -64,18 +69,22 @@
     if (text.snapshot) folded_through = text.number;
     // A late write under a number that the snapshot has replaced has no effect.
     if (!text.snapshot && text.number <= folded_through) continue;
-    const auto digest = ticket::TicketDigest(text.text);
     if (!text.snapshot) {
-      if (HasOther(text.number, digest)) return true;
+      const auto* held = Find(text.number);
+      const bool other =
+          held != nullptr && held->digest != ticket::TicketDigest(text.text);
+      if (other) return true;
       continue;
     }
+    const auto digest = ticket::TicketDigest(text.text);
     if (digest == checked_snapshot_) continue;
     LastReason<ticket::TicketError> ignored;  // Apply() reports it.
     const auto parsed = ticket::ParseSnapshot(text.text, "snapshot", ignored);
     if (!parsed) continue;
-    for (const auto& folded : parsed->folded) {
-      if (HasOther(folded.number, folded.digest)) return true;
-    }
+    const bool other = std::ranges::any_of(
+        parsed->folded,
+        [this](const auto& folded) { return HasOther(folded); });
+    if (other) return true;
     checked_snapshot_ = digest;
   }
   return false;
