--- a/packages/peers/include/cowslip/peers.h
+++ b/packages/peers/include/cowslip/peers.h
@@ -3,6 +3,7 @@
 /// @file Public header of the peers library: a membership table of all
 /// instances that is kept up to date by gossip, without queries to the store.
 
+#include "cowslip/peers/address_spread.h"      // IWYU pragma: export
 #include "cowslip/peers/config_version.h"      // IWYU pragma: export
 #include "cowslip/peers/document_digest.h"     // IWYU pragma: export
 #include "cowslip/peers/document_holders.h"    // IWYU pragma: export
--- a/packages/peers/src/watch_duty.cc
+++ b/packages/peers/src/watch_duty.cc
@@ -1,5 +1,7 @@
 #include "cowslip/peers/watch_duty.h"
 
+#include "cowslip/peers/address_spread.h"
+
 namespace cowslip::peers {
 
 void WatcherElection::OnWatcherStatus(InstanceAddress watcher, bool watching,
@@ -34,8 +36,7 @@
     understaffed_ = true;
     understaffed_since_ = now;
   }
-  // The low bits of the address spread the takeovers over time.
-  const auto delay = kTakeoverSpread * (self_ % 8) / 8;
+  const auto delay = SpreadByAddress(kTakeoverSpread, self_);
   if (now - understaffed_since_ >= delay) {
     watching_ = true;
     understaffed_ = false;
