Tests: one fixture of the simulated store; set-ups that stood twice

store_client_test and store_return_test share StoreFixture (each keeps its address and step limit), the process tests RestartAndClaim(), and lost_ticket_test LoseTickets(). Assertions and bounds are the same.

--- a/tests/lost_ticket_test.cc
+++ b/tests/lost_ticket_test.cc
@@ -32,6 +32,14 @@
   fleet.Run(seconds(2));
 }
 
+/// Makes the store lose tickets that are in force.
+void LoseTickets(RelaySimulation& fleet, int tickets) {
+  const auto copy = fleet.CopyStore();
+  Submit(fleet, tickets, "lost");
+  fleet.RestoreStore(copy);
+  fleet.Run(seconds(2));
+}
+
 }  // namespace
 
 // The store has lost ticket 2, and another operator submits one with its
@@ -58,10 +66,7 @@
 BOOST_AUTO_TEST_CASE(LostTicketStaysInForce) {
   RelaySimulation fleet(12);
   Start(fleet, 8);
-  const auto copy = fleet.CopyStore();
-  Submit(fleet, 3, "lost");
-  fleet.RestoreStore(copy);
-  fleet.Run(seconds(2));
+  LoseTickets(fleet, 3);
   fleet.Start(3);
   fleet.Run(kInForceLimit);
   BOOST_TEST(fleet.CountWithTicket(4) == fleet.size());
@@ -71,10 +76,7 @@
 BOOST_AUTO_TEST_CASE(AcceptedTicketReplacesSeveralLostOnes) {
   RelaySimulation fleet(13);
   Start(fleet, 8);
-  const auto copy = fleet.CopyStore();
-  Submit(fleet, 3, "lost");
-  fleet.RestoreStore(copy);
-  fleet.Run(seconds(2));
+  LoseTickets(fleet, 3);
   fleet.Submit("accepted");
   fleet.Run(kInForceLimit);
   BOOST_TEST(fleet.AllHaveTicketsOfStore());
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -5,10 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/config_follower.h"
-#include "platform/registration.h"
-#include "platform/standins/store_standin.h"
-#include "tests/platform/loop_runner.h"
+#include "tests/platform/store_fixture.h"
 
 namespace cowslip::platform_adapter::test {
 namespace {
@@ -19,7 +16,6 @@
 
 const Endpoint kStore{0x7f290107, 8169};          // 127.41.1.7
 const Endpoint kUnusedAddress{0x7f290108, 8169};  // 127.41.1.8, nothing listens
-const std::string kConfigKey = "op/config";
 /// Time within which a configuration has to be in force.
 constexpr milliseconds kConfigDeadline{3000};
 /// Limit of the duration of a call; its callers wait for the result.
@@ -27,44 +23,8 @@
 /// Limit for steps that usually take a few milliseconds.
 constexpr milliseconds kShortTime{500};
 
-std::string Document(int version, const std::string& service = "vault") {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"host":"198.18.0.1","prefix":"/8443/","service":")" +
-         service + R"("}],"services":[],"limits":{}})";
-}
-
-/// A simulated store, and a client and follower connected to it.
-struct Fixture {
-  EventLoop loop;
-  std::unique_ptr<StoreStandin> store = Open();
-  StoreClient client{loop.base(), kStore};
-  std::uint64_t verified = 0;
-  std::uint64_t failed = 0;
-  ConfigFollower follower{
-      loop,
-      client,
-      milliseconds(1000),
-      {[](auto) {}, [this] { ++verified; }, [this] { ++failed; }}};
-
-  std::unique_ptr<StoreStandin> Open() {
-    LastReason<AdapterError> reason;
-    auto standin = StoreStandin::Listen(loop.base(), kStore, reason);
-    BOOST_REQUIRE_MESSAGE(standin != nullptr, reason.Message());
-    return standin;
-  }
-
-  bool HasVersion(std::uint64_t version, milliseconds limit) {
-    return RunUntil(loop, limit,
-                    [&] { return follower.version().number == version; });
-  }
-
-  /// Makes the follower read version 1 and watch the store.
-  void StartWatching() {
-    store->Put(kConfigKey, Document(1));
-    follower.SetWatching(true);
-    BOOST_REQUIRE(HasVersion(1, kShortTime));
-    RunFor(loop, milliseconds(50));
-  }
+struct Fixture : StoreFixture {
+  Fixture() : StoreFixture(kStore, kShortTime) {}
 
   /// @return the outcome of a call that lists keys.
   StoreFailure ListOnce() {
@@ -77,15 +37,6 @@
   }
 };
 
-peers::PeerEntry MakeEntry(std::uint32_t address) {
-  peers::PeerEntry entry;
-  entry.address = address;
-  entry.incarnation = 5;
-  entry.service = "vault";
-  entry.accepts = true;
-  return entry;
-}
-
 }  // namespace
 
 BOOST_FIXTURE_TEST_CASE(EachFaultEndsACallInTimeWithItsFailure, Fixture) {
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -4,10 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <utility>
 
-#include "platform/config_follower.h"
-#include "platform/registration.h"
-#include "platform/standins/store_standin.h"
-#include "tests/platform/loop_runner.h"
+#include "platform/address.h"
+#include "tests/platform/store_fixture.h"
 
 namespace cowslip::platform_adapter::test {
 namespace {
@@ -18,7 +16,6 @@
 using std::chrono::milliseconds;
 
 const Endpoint kStore{0x7f2a0107, 8169};  // 127.42.1.7
-const std::string kConfigKey = "op/config";
 constexpr std::uint32_t kFirstInstance = 0x0a000001;
 /// Time within which a configuration has to be in force.
 constexpr milliseconds kConfigDeadline{3000};
@@ -27,56 +24,12 @@
 /// Limit for steps that usually take a few milliseconds.
 constexpr milliseconds kShortTime{700};
 
-std::string Document(int version, const std::string& service = "vault") {
-  return R"({"version":)" + std::to_string(version) +
-         R"(,"routes":[{"host":"198.18.0.1","prefix":"/8443/","service":")" +
-         service + R"("}],"services":[],"limits":{}})";
-}
-
 std::string KeyOf(std::uint32_t address) {
-  auto text = ToString(Endpoint{address, 0});
-  return "cowslip/instances/" + text.substr(0, text.find(':'));
+  return "cowslip/instances/" + AddressText(address);
 }
 
-peers::PeerEntry MakeEntry(std::uint32_t address) {
-  peers::PeerEntry entry;
-  entry.address = address;
-  entry.incarnation = 5;
-  entry.service = "vault";
-  entry.accepts = true;
-  return entry;
-}
-
-/// A simulated store, and a client and follower connected to it.
-struct Fixture {
-  EventLoop loop;
-  std::unique_ptr<StoreStandin> store = Open();
-  StoreClient client{loop.base(), kStore};
-  std::function<void()> on_verified = [] {};
-  ConfigFollower follower{loop,
-                          client,
-                          milliseconds(1000),
-                          {[](auto) {}, [this] { on_verified(); }, [] {}}};
-
-  std::unique_ptr<StoreStandin> Open() {
-    LastReason<AdapterError> reason;
-    auto standin = StoreStandin::Listen(loop.base(), kStore, reason);
-    BOOST_REQUIRE_MESSAGE(standin != nullptr, reason.Message());
-    return standin;
-  }
-
-  bool HasVersion(std::uint64_t version, milliseconds limit) {
-    return RunUntil(loop, limit,
-                    [&] { return follower.version().number == version; });
-  }
-
-  /// Makes the follower read version 1 and watch the store.
-  void StartWatching() {
-    store->Put(kConfigKey, Document(1));
-    follower.SetWatching(true);
-    BOOST_REQUIRE(HasVersion(1, kShortTime));
-    RunFor(loop, milliseconds(50));
-  }
+struct Fixture : StoreFixture {
+  Fixture() : StoreFixture(kStore, kShortTime) {}
 
   std::unique_ptr<Registration> Register(std::uint32_t address) {
     const auto entry = MakeEntry(address);
--- a/tests/process/store_restored_test.cc
+++ b/tests/process/store_restored_test.cc
@@ -23,11 +23,8 @@
   const auto first = StoredIncarnation(deployment, 11);
   BOOST_REQUIRE(first > 0U);
   BOOST_REQUIRE(deployment.SetStoreFault("copy"));
-  deployment.Kill("sidecar-11");
-  deployment.Restart("sidecar-11");
-  BOOST_REQUIRE(
-      Eventually([&] { return StoredIncarnation(deployment, 11) > first; }));
-  const auto lost = StoredIncarnation(deployment, 11);
+  const auto lost = RestartAndClaim(deployment, 11);
+  BOOST_REQUIRE(lost > first);
   BOOST_REQUIRE(Eventually([&] { return Posts(deployment, "before"); }));
   BOOST_REQUIRE(deployment.SetStoreFault("restore"));
   BOOST_TEST(
--- a/tests/process/stored_incarnation.h
+++ b/tests/process/stored_incarnation.h
@@ -26,4 +26,16 @@
   return announcement ? Raw(announcement->upstream.incarnation) : 0;
 }
 
+/// Kills and starts a sidecar of service 1.
+/// @return the incarnation that the new process has claimed, 0 if none.
+inline std::uint64_t RestartAndClaim(Deployment& deployment, int id) {
+  const auto name = "sidecar-" + std::to_string(id);
+  const auto before = StoredIncarnation(deployment, id);
+  deployment.Kill(name);
+  deployment.Restart(name);
+  const bool claimed =
+      Eventually([&] { return StoredIncarnation(deployment, id) > before; });
+  return claimed ? StoredIncarnation(deployment, id) : 0;
+}
+
 }  // namespace cowslip::testing
