--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -11,7 +11,6 @@
 namespace {
 
 using standins::StoreFault;
-using standins::StoreStandin;
 using std::chrono::milliseconds;
 
 const Endpoint kStore{0x7f290107, 8169};          // 127.41.1.7
