--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -70,6 +70,7 @@
 int main(int argc, char** argv) {
   Deployment::Options options;
   options.balancers = 3;
-  options.servers = {"custodia", "custodia", "expedientes", "expedientes"};
+  options.servers.assign(5, "custodia");
+  options.servers.insert(options.servers.end(), 3, "expedientes");
   return review::RunCase(argc > 1 ? argv[1] : ".", options, Run);
 }
