--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,7 +11,7 @@
 using std::chrono::milliseconds;
 
 constexpr int kPort = 8443;
-constexpr int kFlows = 40;
+constexpr int kFlows = 100;
 
 Outcome Run(Deployment& deployment) {
   const bool trouble = review::WithTrouble();
@@ -27,7 +27,7 @@
   deployment.At(milliseconds(8500), [&] { server.Crash(); });
   deployment.At(milliseconds(9500), [&] { server.Start(); });
   for (int i = 0; i < kFlows; ++i) {
-    deployment.At(milliseconds(10500 + 30 * i),
+    deployment.At(milliseconds(10500 + 12 * i),
                   [&deployment] { deployment.Open(kPort); });
   }
   deployment.At(milliseconds(12500), [&] {
@@ -74,6 +74,6 @@
 int main(int argc, char** argv) {
   Deployment::Options options;
   options.balancers = 2;
-  options.servers.assign(3, "custodia");
+  options.servers.assign(7, "custodia");
   return review::RunCase(argc > 1 ? argv[1] : ".", options, Run);
 }
