Flows of an upstream whose restart the store missed are no longer reset

Cause: a sidecar that starts took the entry in the store for the last state of its predecessor. The entry named the upstream's process before the last one, as the write that named the last one was never made, so the sidecar denied all flows that it had not placed itself. The era of the store covers a copy that is too old, not a write that is missing. The same holds for flows of the first moments after any restart of an upstream, before the entry is written.

Fix: packages/segment/flow_knowledge.h says in one place what a process can know of flows that it hasn't seen. An upstream owns no unseen flows only if it started after earlier processes of its sidecar had ended, by the start and the sequence number that its reports carry; nothing that the store or peers tell counts. Otherwise the upstream itself is asked: it returns the packet at once or keeps it. All sidecars of a frame's list may ask (two before), also before the first report, and acknowledge the packet as accepted only once it was not returned.

--- /dev/null
+++ b/packages/segment/include/cowslip/segment/flow_knowledge.h
@@ -0,0 +1,98 @@
+#pragma once
+
+/// @file What a process can know of flows that it has not seen.
+///
+/// A process says that a flow is owned, or that it is not, only from proof:
+///  * an upstream owns a flow if ProvesOwnership() or AcceptsHandshake() says
+///    so, and doesn't own one that it has returned;
+///  * a flow without a record does not exist if no flow can have been missed:
+///    since a time that a KnowledgeWindow covers, or because the upstream is
+///    younger than the process (UnseenFlows).
+/// Everything else is unknown. What is unknown is neither claimed nor denied
+/// nor reset: the upstream is queried, or the lookup goes on to other members
+/// and ends without certainty.
+
+#include <chrono>
+#include <cstdint>
+
+#include "cowslip/base.h"
+#include "cowslip/segment/segment.h"
+#include "cowslip/segment/upstream_report.h"
+
+namespace cowslip::segment {
+
+/// Whether an upstream owns a flow, as its sidecar knows it.
+enum class Ownership : std::uint8_t { kOwned, kNotOwned, kUnknown };
+
+/// @return whether a packet that an upstream sent shows that it owns the flow.
+///     A SYN-ACK doesn't: the caller may have chosen another upstream that
+///     answered a copy of its SYN. Nor does a reset, which ends a handshake
+///     too.
+bool ProvesOwnership(const Segment& from_upstream);
+
+/// @return whether a caller's packet, the first one after the handshake,
+///     chooses the upstream whose SYN-ACK had this sequence number.
+bool AcceptsHandshake(const Segment& from_caller, std::uint32_t upstream_seq);
+
+/// The time since which a process cannot have missed anything of a kind that
+/// matters to flows. It begins anew with each gap.
+class KnowledgeWindow {
+ public:
+  explicit KnowledgeWindow(TimePoint start) : complete_since_(start) {}
+
+  /// Something may have been missed until `now`.
+  void OpenGap(TimePoint now) { complete_since_ = now; }
+  /// @return whether everything is known that concerns a flow of any age.
+  bool CoversAllFlows(TimePoint now) const {
+    return now - complete_since_ >= kMaxFlowAge;
+  }
+
+ private:
+  TimePoint complete_since_;
+};
+
+/// When a process started, on both clocks.
+struct ProcessStart {
+  TimePoint steady{};
+  std::chrono::milliseconds time_of_day{};
+};
+
+/// Decides whether an upstream may own flows that its sidecar has no record of.
+///
+/// Nothing reaches an upstream but through the sidecar's processes. The present
+/// one has a record of each flow that it placed, so only an earlier process can
+/// have placed others, and only at an upstream that was there before that
+/// process ended. What the store or peers tell of an earlier process is no
+/// proof of what that process did last.
+class UnseenFlows {
+ public:
+  explicit UnseenFlows(const ProcessStart& start)
+      : start_(start), window_(start.steady) {}
+
+  /// Sets the interval at which the upstream sends its reports.
+  void SetReportInterval(std::chrono::milliseconds interval) {
+    report_interval_ = interval;
+  }
+  /// Handles a report of the upstream's present process.
+  void OnReport(const UpstreamReport& report, TimePoint now);
+  /// The record of a flow was discarded before the flow could have ended.
+  void OnRecordLost(TimePoint now);
+  /// @return whether such flows may exist.
+  bool MayExist(TimePoint now) const;
+
+ private:
+  /// @return whether the upstream's process began after earlier ones of this
+  ///     sidecar had ended. Its sequence number limits how long it can have
+  ///     run, in case a clock was set.
+  bool IsYounger(const UpstreamReport& report, TimePoint now) const;
+
+  ProcessStart start_;
+  KnowledgeWindow window_;
+  std::chrono::milliseconds report_interval_{1000};
+  /// Start of the upstream's process that the last report was from.
+  std::chrono::milliseconds upstream_started_at_{};
+  bool has_report_ = false;
+  bool upstream_is_younger_ = false;
+};
+
+}  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -6,12 +6,14 @@
 
 #include "cowslip/base.h"
 #include "cowslip/segment/admission.h"
+#include "cowslip/segment/flow_knowledge.h"
 #include "cowslip/segment/flow_state_table.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/frame_ring.h"
 #include "cowslip/segment/load_estimator.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
+#include "cowslip/segment/pending_query.h"
 #include "cowslip/segment/pending_syn_queue.h"
 #include "cowslip/segment/sidecar_stats.h"
 #include "cowslip/segment/upstream_gate.h"
@@ -24,11 +26,12 @@
 class Sidecar {
  public:
   Sidecar(InstanceAddress self, ServiceTag service, Observer& observer,
-          TimePoint started);
+          const ProcessStart& started);
 
   /// Sets the interval at which the upstream sends its reports.
   void SetReportInterval(std::chrono::milliseconds interval) {
     liveness_.SetReportInterval(interval);
+    unseen_flows_.SetReportInterval(interval);
   }
 
   /// Handles a caller packet that a balancer or another sidecar sent.
@@ -60,11 +63,6 @@
   void OnDeregistered(std::string_view id) {
     upstream_state_.OnDeregistered(id);
   }
-  /// @param has_predecessor whether an earlier process of this instance may
-  /// have placed flows that the upstream still owns; true until it is known.
-  void SetHasPredecessor(bool has_predecessor) {
-    has_predecessor_ = has_predecessor;
-  }
   /// The store has come back from an older copy: the newest configuration seen
   /// may be lost. Balancers with an older one count as outdated only once some
   /// balancer is seen to use it again.
@@ -81,6 +79,10 @@
     return liveness_.is_missing() ||
            upstream_state_.state() == Lifecycle::kDeregistered;
   }
+  /// @return whether the upstream may own flows that this process hasn't seen.
+  bool MayHaveUnseenFlows(TimePoint now) const {
+    return unseen_flows_.MayExist(now);
+  }
   const UpstreamStateTracker& gate() const { return upstream_state_; }
   const SidecarStats& stats() const { return stats_; }
   const LoadEstimator& load() const { return load_; }
@@ -115,11 +117,21 @@
   /// that the flow was not found or not accepted.
   void Forward(SegmentFrame& frame, const Segment& segment, ByteView packet,
                TimePoint now, Outbox& out);
-  /// @return whether the upstream owns the flow of a packet.
-  bool Owns(FlowEntry& entry, const Segment& segment) const;
+  /// Sends a packet of a flow whose owner is unknown to the upstream, which
+  /// returns it unless it owns the flow.
+  void QueryUpstream(SegmentFrame& frame, const Segment& segment,
+                     ByteView packet, TimePoint now, Outbox& out);
+  /// Ends the queries that the upstream has had the time to answer.
+  void EndQueries(TimePoint now, Outbox& out);
+  /// @param entry of the flow, nullptr if there is none.
+  /// @return whether the upstream owns the flow of a caller's packet.
+  Ownership OwnershipOf(const FlowEntry* entry, const Segment& segment,
+                        TimePoint now) const;
+  /// @return whether the upstream is known to run.
+  bool UpstreamIsAlive() const;
   /// @return whether the upstream may own flows that are missing from the flow
   /// table.
-  bool UpstreamMayOwnUnknownFlows(TimePoint now) const;
+  bool UpstreamMayOwnUnseenFlows(TimePoint now) const;
   /// @return whether the balancer's configuration is too old for its SYNs to be
   /// accepted.
   bool IsStale(const SegmentFrame& frame, TimePoint now) const;
@@ -137,9 +149,8 @@
   InstanceAddress self_;
   ServiceTag service_;
   Observer* observer_;
-  TimePoint started_;
+  UnseenFlows unseen_flows_;
   bool stopping_ = false;
-  bool has_predecessor_ = true;
   std::uint64_t newest_config_ = 0;
   TimePoint config_received_{};
   /// Some balancer has used the newest configuration since the store last came
@@ -151,6 +162,7 @@
   FlowStateTable flows_;
   FrameRing sent_frames_;
   PendingSynQueue pending_syns_;
+  PendingQueryQueue pending_queries_;
   std::deque<ExpectedRequest> expected_requests_;
   TimePoint last_sweep_{};
   SidecarStats stats_;
--- /dev/null
+++ b/packages/segment/src/flow_knowledge.cc
@@ -0,0 +1,52 @@
+#include "cowslip/segment/flow_knowledge.h"
+
+namespace cowslip::segment {
+namespace {
+
+/// Part of the report interval, in percent, that passes at least between two
+/// reports.
+constexpr int kMinReportGapPercent = 65;
+
+/// The platform waits for longer than this before it starts a process again, so
+/// an upstream that started within it was not served by an earlier process.
+/// Both start at nearly the same time when their machine does.
+constexpr std::chrono::milliseconds kMinRestartDelay{100};
+
+}  // namespace
+
+bool ProvesOwnership(const Segment& from_upstream) {
+  return !from_upstream.syn && !from_upstream.rst;
+}
+
+bool AcceptsHandshake(const Segment& from_caller, std::uint32_t upstream_seq) {
+  // Callers acknowledge the SYN-ACK's number or the one after it. The upstream
+  // sends data, which would be acknowledged too, only once the flow is open.
+  return from_caller.ack - upstream_seq <= 1;
+}
+
+bool UnseenFlows::IsYounger(const UpstreamReport& report, TimePoint now) const {
+  if (report.started_at < start_.time_of_day - kMinRestartDelay) return false;
+  const Duration min_gap = report_interval_ * kMinReportGapPercent / 100;
+  const auto possible_reports = 1 + (now - start_.steady) / min_gap;
+  return report.sequence <= static_cast<std::uint64_t>(possible_reports);
+}
+
+void UnseenFlows::OnReport(const UpstreamReport& report, TimePoint now) {
+  const bool same_process =
+      has_report_ && report.started_at == upstream_started_at_;
+  upstream_is_younger_ =
+      IsYounger(report, now) && (!same_process || upstream_is_younger_);
+  upstream_started_at_ = report.started_at;
+  has_report_ = true;
+}
+
+void UnseenFlows::OnRecordLost(TimePoint now) {
+  window_.OpenGap(now);
+  upstream_is_younger_ = false;
+}
+
+bool UnseenFlows::MayExist(TimePoint now) const {
+  return !upstream_is_younger_ && !window_.CoversAllFlows(now);
+}
+
+}  // namespace cowslip::segment
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -15,9 +15,11 @@
 /// Limit of the bytes after the upstream's first sequence number that a caller
 /// can have acknowledged while the flow is young: several times 16 packets.
 constexpr std::uint32_t kFirstAckWindow = 1U << 20;
-/// Upstreams that one packet is sent to in an owner lookup although their
-/// sidecars have no entry for its flow.
-constexpr std::uint8_t kMaxQueriedUpstreams = 2;
+/// Time within which an upstream returns a packet of a flow that it doesn't
+/// own. It is on the same machine.
+constexpr std::chrono::milliseconds kReturnTime{10};
+/// Limit of queries that wait for the upstream; further ones end as unknown.
+constexpr std::size_t kMaxPendingQueries = 512;
 /// Lag of a balancer's configuration after which its SYNs are not accepted.
 /// Shorter than the time within which a configuration has to be in force.
 constexpr std::chrono::milliseconds kMaxConfigLag{1500};
@@ -27,8 +29,11 @@
 }  // namespace
 
 Sidecar::Sidecar(InstanceAddress self, ServiceTag service, Observer& observer,
-                 TimePoint started)
-    : self_(self), service_(service), observer_(&observer), started_(started) {}
+                 const ProcessStart& started)
+    : self_(self),
+      service_(service),
+      observer_(&observer),
+      unseen_flows_(started) {}
 
 void Sidecar::UpdateConfigVersion(std::uint64_t config, TimePoint now) {
   if (config >= newest_config_) newest_config_in_use_ = true;
@@ -42,10 +47,15 @@
          now - config_received_ > kMaxConfigLag;
 }
 
-bool Sidecar::UpstreamMayOwnUnknownFlows(TimePoint now) const {
+bool Sidecar::UpstreamMayOwnUnseenFlows(TimePoint now) const {
   if (liveness_.is_missing()) return false;
-  return has_predecessor_ && !upstream_state_.saw_restart() &&
-         now - started_ < kMaxFlowAge;
+  return unseen_flows_.MayExist(now) && !upstream_state_.saw_restart();
+}
+
+bool Sidecar::UpstreamIsAlive() const {
+  const auto state = upstream_state_.state();
+  return !liveness_.is_missing() &&
+         (state == Lifecycle::kAccepting || state == Lifecycle::kDraining);
 }
 
 void Sidecar::OnFrame(SegmentFrame frame, const Segment& segment,
@@ -133,50 +143,86 @@
   Acknowledge(frame, AckStatus::kAccepted, segment, now, out);
 }
 
-bool Sidecar::Owns(FlowEntry& entry, const Segment& segment) const {
-  switch (entry.state) {
+Ownership Sidecar::OwnershipOf(const FlowEntry* entry, const Segment& segment,
+                               TimePoint now) const {
+  const auto unseen = UpstreamMayOwnUnseenFlows(now) ? Ownership::kUnknown
+                                                     : Ownership::kNotOwned;
+  if (entry == nullptr) return unseen;
+  switch (entry->state) {
     case FlowState::kEstablished:
     case FlowState::kClosed:
-      return true;
+      return Ownership::kOwned;
     case FlowState::kNotOwned:
-      return false;
+      return Ownership::kNotOwned;
     case FlowState::kSynSent:
       // Another upstream may have answered a copy of the SYN first. The
       // caller's packet acknowledges the sequence number of the one it chose.
-      if (!entry.syn_acked) return false;
-      return segment.ack - entry.upstream_seq < kFirstAckWindow;
+      if (!entry->syn_acked) return Ownership::kNotOwned;
+      return segment.ack - entry->upstream_seq < kFirstAckWindow
+                 ? Ownership::kOwned
+                 : Ownership::kNotOwned;
   }
-  return false;
+  return Ownership::kUnknown;
 }
 
 void Sidecar::HandleExistingFlow(SegmentFrame& frame, const Segment& segment,
                                  ByteView packet, TimePoint now, Outbox& out) {
   auto* row = flows_.Find(segment.flow);
-  if (row != nullptr && Owns(*row, segment)) {
-    if (liveness_.is_missing()) {
-      ResetLostFlow(*row, "upstream_absent", segment, now, out);
+  switch (OwnershipOf(row, segment, now)) {
+    case Ownership::kOwned:
+      if (liveness_.is_missing()) {
+        ResetLostFlow(*row, "upstream_absent", segment, now, out);
+        return;
+      }
+      if (row->state == FlowState::kSynSent) {
+        row->state = FlowState::kEstablished;
+      }
+      Deliver(*row, frame, segment, packet, now, out);
       return;
-    }
-    if (row->state == FlowState::kSynSent) row->state = FlowState::kEstablished;
-    Deliver(*row, frame, segment, packet, now, out);
-    return;
-  }
-  if (row == nullptr && UpstreamMayOwnUnknownFlows(now)) {
-    const bool may_query_upstream =
-        !frame.other_service && frame.asked < kMaxQueriedUpstreams &&
-        upstream_state_.state() != Lifecycle::kUnknown;
-    if (!may_query_upstream) {
+    case Ownership::kNotOwned:
+      Forward(frame, segment, packet, now, out);
+      return;
+    case Ownership::kUnknown:
+      if (!frame.other_service &&
+          pending_queries_.size() < kMaxPendingQueries) {
+        QueryUpstream(frame, segment, packet, now, out);
+        return;
+      }
       frame.inconclusive = true;
-    } else {
-      ++stats_.asked;
-      ++frame.asked;
-      LogDecision("ask_upstream", "started_after_flow", segment.flow, frame);
-      out.SendToUpstream(sent_frames_.Store(segment.flow, frame), packet);
-      Acknowledge(frame, AckStatus::kAccepted, segment, now, out);
+      Forward(frame, segment, packet, now, out);
       return;
+  }
+}
+
+void Sidecar::QueryUpstream(SegmentFrame& frame, const Segment& segment,
+                            ByteView packet, TimePoint now, Outbox& out) {
+  ++stats_.asked;
+  ++frame.asked;
+  LogDecision("ask_upstream", "started_after_flow", segment.flow, frame);
+  out.SendToUpstream(sent_frames_.Store(segment.flow, frame), packet);
+  pending_queries_.push_back(
+      {segment, frame, Bytes(packet.begin(), packet.end()), now + kReturnTime});
+  // Not accepted yet: the lookup ends once the upstream has kept the packet.
+  Acknowledge(frame, AckStatus::kForwarded, segment, now, out, self_);
+}
+
+/// An upstream that runs and has not returned the packet keeps the flow. Of one
+/// that may not run nothing is known, so the packet goes on to other members.
+void Sidecar::EndQueries(TimePoint now, Outbox& out) {
+  while (!pending_queries_.empty() && now >= pending_queries_.front().due) {
+    auto query = std::move(pending_queries_.front());
+    pending_queries_.pop_front();
+    const auto* entry = flows_.Find(query.segment.flow);
+    const bool returned =
+        entry != nullptr && entry->state == FlowState::kNotOwned;
+    if (returned) continue;
+    if (UpstreamIsAlive()) {
+      Acknowledge(query.frame, AckStatus::kAccepted, query.segment, now, out);
+    } else {
+      query.frame.inconclusive = true;
+      Forward(query.frame, query.segment, query.packet, now, out);
     }
   }
-  Forward(frame, segment, packet, now, out);
 }
 
 void Sidecar::Deliver(FlowEntry& entry, const SegmentFrame& frame,
@@ -345,6 +391,7 @@
 
 void Sidecar::OnTick(TimePoint now, Outbox& out) {
   liveness_.OnTick(now);
+  EndQueries(now, out);
   while (!pending_syns_.empty() && now >= pending_syns_.front().due) {
     auto pending_syn = pending_syns_.front();
     pending_syns_.pop_front();
@@ -389,6 +436,7 @@
     if (entry != nullptr && !entry->syn_acked) ReleaseLoad(*entry, now);
   }
   pending_syns_.clear();
+  pending_queries_.clear();
 }
 
 void Sidecar::OnBacklogFrame(const SegmentFrame& frame, const Segment& segment,
@@ -404,6 +452,7 @@
   const auto result = upstream_state_.OnReport(report, now);
   if (result == ReportResult::kOutdated) return result;
   liveness_.OnActivity();
+  unseen_flows_.OnReport(report, now);
   load_.SetSlots(report.slots);
   if (result == ReportResult::kNewIncarnation) load_.Reset(now);
   return result;
--- /dev/null
+++ b/tests/platform/unseen_flows_test.cc
@@ -0,0 +1,112 @@
+// Tests with real processes that no open flow is reset by an instance that has
+// missed something: regression tests of the faults that a review found.
+#define BOOST_TEST_MODULE platform_unseen_flows
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+
+#include "platform/soak/guarantee_checker.h"
+#include "tests/platform/loop_runner.h"
+
+namespace cowslip::platform_adapter::test {
+namespace {
+
+using segment::test::CallState;
+using segment::test::FakeCaller;
+using soak::GuaranteeChecker;
+using standins::Machine;
+using standins::Site;
+using standins::StoreFault;
+using standins::UpstreamHost;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// Time after which a killed process starts again.
+constexpr milliseconds kRestartDelay{500};
+
+/// A running site with one service behind each of two routes.
+struct Fixture {
+  explicit Fixture(int number) {
+    LastReason<AdapterError> reason;
+    site = Site::Start(number, checks.Events(), reason);
+    BOOST_REQUIRE_MESSAGE(site != nullptr, reason.Message());
+    checks.Attach(*site);
+    Configure(0, 1);
+    RunFor(site->loop(), seconds(2));
+  }
+  ~Fixture() {
+    for (const auto& violation : checks.violations()) BOOST_ERROR(violation);
+  }
+
+  /// Writes a configuration. @param services behind the two routes.
+  void Configure(int first, int second) {
+    std::map<Endpoint, std::string> routes;
+    routes[Site::RouteAddress(0)] = Site::ServiceName(first);
+    routes[Site::RouteAddress(1)] = Site::ServiceName(second);
+    checks.OnConfigured(site->Configure(routes), routes);
+  }
+  void OpenFlows(int count) {
+    for (int i = 0; i < count; ++i) {
+      callers.push_back(&site->Open(Site::RouteAddress(0)));
+      RunFor(site->loop(), milliseconds(10));
+    }
+    RunFor(site->loop(), milliseconds(200));
+    for (const auto* caller : callers) {
+      BOOST_TEST((caller->state() == CallState::kAnswered));
+    }
+  }
+  void KillAll() {
+    for (auto* machines : {&site->balancers(), &site->sidecars()}) {
+      for (auto& machine : *machines) machine->Signal(SIGKILL);
+    }
+    RunFor(site->loop(), kRestartDelay);
+    for (auto* machines : {&site->balancers(), &site->sidecars()}) {
+      for (auto& machine : *machines) machine->RestartIfEnded();
+    }
+  }
+  /// Sends a request on each flow; all have to be answered.
+  void CheckFlows() {
+    for (auto* caller : callers) {
+      caller->Ask();
+      RunFor(site->loop(), milliseconds(10));
+    }
+    RunFor(site->loop(), seconds(4));
+    int answered = 0;
+    int reset = 0;
+    for (const auto* caller : callers) {
+      answered += caller->state() == CallState::kAnswered;
+      reset += caller->state() == CallState::kReset;
+    }
+    BOOST_TEST(reset == 0);
+    BOOST_TEST(answered == static_cast<int>(callers.size()));
+  }
+
+  GuaranteeChecker checks;
+  std::unique_ptr<Site> site;
+  std::vector<FakeCaller*> callers;
+};
+
+struct LostWriteFixture : Fixture {
+  LostWriteFixture() : Fixture(23) {}
+};
+
+}  // namespace
+
+// The entry of a sidecar named the upstream's process before the last one when
+// the sidecar was killed, so the next sidecar denied the flows of the last one
+// (review, case 4).
+BOOST_FIXTURE_TEST_CASE(FlowsSurviveARestartThatTheStoreMissed,
+                        LostWriteFixture) {
+  site->store().SetFault(StoreFault::kBusy);
+  for (auto& upstream : site->upstreams()) upstream->Crash(milliseconds(100));
+  RunFor(site->loop(), seconds(1));
+  OpenFlows(40);
+  // The upstreams are older than any margin for machines that start together.
+  RunFor(site->loop(), seconds(2));
+  KillAll();
+  RunFor(site->loop(), seconds(1));
+  site->store().SetFault(StoreFault::kNone);
+  RunFor(site->loop(), seconds(4));
+  CheckFlows();
+}
+
+}  // namespace cowslip::platform_adapter::test
