A repeated SYN-ACK no longer makes a sidecar claim a flow

Cause: two servers had answered copies of a SYN whose first SYN-ACK was lost. The one that was not chosen sends its SYN-ACK again for some 10 s. A sidecar that had restarted meanwhile took any packet of its upstream for a proof of ownership and recorded the flow as established. It claimed the flow in lookups, and when its upstream returned the packet, counted the flow as lost in a restart and reset it.

Fix: a SYN-ACK records a handshake, not a flow. Ownership follows from a packet that only an open flow has, or from the caller's acknowledgement of exactly this SYN-ACK; the former window of 1 MB would have matched a foreign number once in 4,096 flows. A handshake that doesn't match is unknown, not denied, while flows may be missing from the records. Same cause on related paths: a reset during a handshake is no claim either, and a packet that is returned during a handshake shows that the caller has chosen another upstream.

--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -136,6 +136,8 @@
   /// accepted.
   bool IsStale(const SegmentFrame& frame, TimePoint now) const;
   void UpdateConfigVersion(std::uint64_t config, TimePoint now);
+  /// Updates the record of a flow from a packet that the upstream sent.
+  void RecordUpstreamPacket(const Segment& segment, TimePoint now);
   void TrackRequest(FlowEntry& entry, const Segment& segment, TimePoint now);
   void EndRequest(FlowEntry& entry, TimePoint now);
   void ReleaseLoad(FlowEntry& entry, TimePoint now);
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -12,9 +12,6 @@
 /// Time until a first request is no longer expected. Callers send it within a
 /// round trip of the SYN.
 constexpr std::chrono::milliseconds kFirstRequestTimeout{150};
-/// Limit of the bytes after the upstream's first sequence number that a caller
-/// can have acknowledged while the flow is young: several times 16 packets.
-constexpr std::uint32_t kFirstAckWindow = 1U << 20;
 /// Time within which an upstream returns a packet of a flow that it doesn't
 /// own. It is on the same machine.
 constexpr std::chrono::milliseconds kReturnTime{10};
@@ -155,12 +152,11 @@
     case FlowState::kNotOwned:
       return Ownership::kNotOwned;
     case FlowState::kSynSent:
-      // Another upstream may have answered a copy of the SYN first. The
-      // caller's packet acknowledges the sequence number of the one it chose.
-      if (!entry->syn_acked) return Ownership::kNotOwned;
-      return segment.ack - entry->upstream_seq < kFirstAckWindow
+      // Another upstream may have answered a copy of the SYN first, and this
+      // one may have answered an earlier copy through an earlier process.
+      return entry->syn_acked && AcceptsHandshake(segment, entry->upstream_seq)
                  ? Ownership::kOwned
-                 : Ownership::kNotOwned;
+                 : unseen;
   }
   return Ownership::kUnknown;
 }
@@ -312,10 +308,23 @@
   ++stats_.to_callers;
   liveness_.OnActivity();
   upstream_state_.OnAnswered();
+  RecordUpstreamPacket(segment, now);
+  out.SendToCaller(segment.flow, packet);
+}
+
+void Sidecar::RecordUpstreamPacket(const Segment& segment, TimePoint now) {
   auto* entry = flows_.Find(segment.flow);
-  if (entry == nullptr || entry->state == FlowState::kNotOwned) {
-    // The upstream sends packets of the flow, so it owns it.
-    entry = &flows_.Start(segment.flow, FlowState::kEstablished, now);
+  const bool unknown = entry == nullptr || entry->state == FlowState::kNotOwned;
+  if (ProvesOwnership(segment)) {
+    if (unknown) {
+      entry = &flows_.Start(segment.flow, FlowState::kEstablished, now);
+    } else if (entry->state == FlowState::kSynSent) {
+      entry->state = FlowState::kEstablished;
+    }
+  } else if (entry == nullptr && segment.syn) {
+    entry = &flows_.Start(segment.flow, FlowState::kSynSent, now);
+  } else if (unknown) {
+    return;
   }
   entry->last_activity = now;
   if (segment.syn) {
@@ -324,11 +333,12 @@
   }
   if (segment.length > 0) EndRequest(*entry, now);
   if (segment.fin) entry->upstream_fin = true;
-  if (segment.rst || (entry->caller_fin && entry->upstream_fin)) {
-    ReleaseLoad(*entry, now);
-    entry->state = FlowState::kClosed;
-  }
-  out.SendToCaller(segment.flow, packet);
+  const bool both_closed = entry->caller_fin && entry->upstream_fin;
+  if (!segment.rst && !both_closed) return;
+  ReleaseLoad(*entry, now);
+  // A reset during the handshake doesn't tell whom the caller has chosen.
+  entry->state = entry->state == FlowState::kSynSent ? FlowState::kNotOwned
+                                                     : FlowState::kClosed;
 }
 
 void Sidecar::OnReturned(std::uint32_t token, const Segment& segment,
@@ -365,6 +375,9 @@
   }
   if (entry == nullptr) {
     flows_.Start(segment.flow, FlowState::kNotOwned, now);
+  } else {
+    ReleaseLoad(*entry, now);
+    entry->state = FlowState::kNotOwned;
   }
   if (!frame) return;
   auto next = *frame;
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -164,6 +164,34 @@
   BOOST_TEST(sim.wrong_resets() == 0);
 }
 
+// An upstream that had answered a copy of the SYN, but was not chosen, sends
+// its SYN-ACK again through a sidecar that has restarted (review, case 2).
+BOOST_AUTO_TEST_CASE(RepeatedSynAckIsNoProofOfOwnership) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 5);
+  OpenCallers(sim, 40, milliseconds(10));
+  sim.Run(seconds(1));
+  for (int i = 0; i < 5; ++i) {
+    sim.RestartSidecar(i);
+    sim.Report(i);
+  }
+  for (const auto& caller : sim.callers()) {
+    const int other = (sim.FindOwner(caller->flow()) + 1) % 5;
+    Segment syn;
+    syn.flow = caller->flow();
+    syn.syn = true;
+    sim.upstream(other).OnPacket(syn, 0);
+  }
+  sim.Run(milliseconds(100));
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(seconds(3));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
+}
+
 // The store has lost the newest version, and all balancers that had it are
 // gone. Until operators write it again, no balancer can have it.
 BOOST_AUTO_TEST_CASE(SynsAreAcceptedWithTheVersionThatTheStoreHasKept) {
