A balancer that missed a version no longer resets flows of that version

Cause: a balancer knew the former services of a route only from the versions that it had in force itself, and took that for complete once it had run for 70 s. A version that came and went during a freeze, a cut, a lost watch or between two fetches was missing: the lookup left out the service that owned the flow, ended with certainty, and the flow was reset.

Fix: RouteHistory (flow_knowledge.h) says whether the history is complete. A version has to be known to follow the one before directly (VersionChain: an unbroken watch, or the word of a balancer that has one, in a header of the document); otherwise, and after a suspension or a return of the store from a copy, the history is incomplete for 70 s. It is so too while the last read of the store is older than 5 s or any sidecar has seen a newer version. A lookup then includes the members of all services, as after a start; all of these have to be stable, where only those of the route were checked.

--- a/packages/peers/include/cowslip/peers.h
+++ b/packages/peers/include/cowslip/peers.h
@@ -13,4 +13,5 @@
 #include "cowslip/peers/peer_entry.h"        // IWYU pragma: export
 #include "cowslip/peers/peer_table.h"        // IWYU pragma: export
 #include "cowslip/peers/store_era.h"         // IWYU pragma: export
+#include "cowslip/peers/version_chain.h"     // IWYU pragma: export
 #include "cowslip/peers/watch_duty.h"        // IWYU pragma: export
--- a/packages/peers/include/cowslip/peers/config_version.h
+++ b/packages/peers/include/cowslip/peers/config_version.h
@@ -20,6 +20,10 @@
   /// @return whether this version comes into force where `other` is. A higher
   ///     number does in any era, as accepted changes are never reverted.
   bool Replaces(const ConfigVersion& other) const;
+  /// @return whether both are known to be of one document.
+  bool SameDocument(const ConfigVersion& other) const {
+    return number == other.number && digest == other.digest && digest != 0;
+  }
   /// Takes over the era of the same document, if it is newer.
   void ConfirmBy(const ConfigVersion& same);
 
--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -135,8 +135,9 @@
   std::uint64_t newest_store_era() const { return newest_store_era_; }
   /// @return the newest configuration number known to be in the store.
   std::uint64_t verified_config() const { return verified_config_; }
-  /// @return time since any balancer last received a response of the store.
-  Duration VerifiedAge(TimePoint now) const { return now - verified_at_; }
+  /// @return when any balancer last received a response of the store; only
+  ///     meaningful if verified_config() is not 0.
+  TimePoint verified_at() const { return verified_at_; }
 
  private:
   void PublishSelf();
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -11,6 +11,7 @@
 #include "cowslip/flow.h"
 #include "cowslip/segment/balancer_stats.h"
 #include "cowslip/segment/candidate_selector.h"
+#include "cowslip/segment/flow_knowledge.h"
 #include "cowslip/segment/member.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
@@ -35,9 +36,17 @@
   Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
-  void SetRoutes(std::shared_ptr<const RouteTable> routes) {
-    routes_ = std::move(routes);
+  /// @param follows_previous whether no version was in force anywhere between
+  /// these routes and the ones before.
+  void SetRoutes(std::shared_ptr<const RouteTable> routes,
+                 bool follows_previous, TimePoint now);
+  /// Some balancer has read the store, which held no version newer than this.
+  void OnStoreRead(std::uint64_t newest_version, TimePoint read_at) {
+    route_history_.OnVersionSeen(newest_version);
+    route_history_.OnVerified(read_at);
   }
+  /// The store has come back from an older copy.
+  void OnStoreReturned(TimePoint now) { route_history_.OnInterrupted(now); }
   /// Replaces the members of a service.
   void SetMembers(ServiceTag service, const std::vector<Member>& members,
                   TimePoint now) {
@@ -64,7 +73,7 @@
   void OnTick(TimePoint now, Outbox& out);
   /// The process was suspended. Drops the packets that it had not placed: their
   /// callers have sent them again or have given up.
-  void OnResume();
+  void OnResume(TimePoint now);
   /// Handles a packet that waited in the socket through a suspension. Drops
   /// SYNs for the same reason. Packets of open flows are forwarded, as their
   /// callers may send them again only a second later.
@@ -78,6 +87,11 @@
   /// @return whether there are members and all of them have been unresponsive
   /// for a while, as behind a partition.
   bool IsIsolated(TimePoint now) const;
+  /// @return whether it knows all services that a route led to while its open
+  /// flows began. If not, lookups include the members of all services.
+  bool KnowsFormerServices(TimePoint now) const {
+    return route_history_.IsComplete(now);
+  }
 
  private:
   /// Parts of the member list, after the first, that are queried per second and
@@ -121,7 +135,6 @@
   bool MayResend(PendingPacket& pending, TimePoint now);
   bool RetrySyn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
-  bool KnowsFormerServices(TimePoint now) const;
   void OnNotFound(const Ack& ack, TimePoint now, Outbox& out);
   static bool IsOnlyTransmission(const PendingPacket& syn);
   /// @return the time left until the latency target of the request that follows
@@ -139,6 +152,7 @@
   std::optional<TimePoint> complete_since_;
   std::optional<TimePoint> isolated_since_;
   std::shared_ptr<const RouteTable> routes_;
+  RouteHistory route_history_;
   SidecarStateTable sidecar_states_;
   CandidateSelector members_;
   flow::HintCache hints_;
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -34,8 +34,9 @@
   bool HasMembers() const;
   /// @return whether some member of some service is responsive.
   bool HasResponsiveMember() const;
-  /// @return whether no member has joined a service of the route lately.
-  bool IsStable(const Route& route, TimePoint now) const;
+  /// @return whether no member has joined lately that may own a flow.
+  /// @param knows_former as for ListForExistingFlow().
+  bool IsStable(const Route& route, bool knows_former, TimePoint now) const;
   /// @return whether all members that may own a flow are responsive, so that a
   /// lookup can end with certainty.
   /// @param knows_former as for ListForExistingFlow().
@@ -73,6 +74,22 @@
   };
 
   void AppendCandidates(ServiceTag tag, std::uint64_t hash);
+  /// @return whether all services whose members may own a flow meet a
+  /// condition.
+  template <typename Condition>
+  bool AllServices(const Route& route, bool knows_former,
+                   const Condition& condition) const {
+    if (!knows_former) {
+      return std::all_of(
+          services_.begin(), services_.end(),
+          [&](const auto& each) { return condition(each.first); });
+    }
+    return std::all_of(
+               route.targets.begin(), route.targets.end(),
+               [&](const auto& each) { return condition(each.service); }) &&
+           std::all_of(route.former_services.begin(),
+                       route.former_services.end(), condition);
+  }
 
   const SidecarStateTable* sidecar_states_;
   std::unordered_map<ServiceTag, Service> services_;
--- a/packages/segment/include/cowslip/segment/flow_knowledge.h
+++ b/packages/segment/include/cowslip/segment/flow_knowledge.h
@@ -7,13 +7,16 @@
 ///    so, and doesn't own one that it has returned;
 ///  * a flow without a record does not exist if no flow can have been missed:
 ///    since a time that a KnowledgeWindow covers, or because the upstream is
-///    younger than the process (UnseenFlows).
+///    younger than the process (UnseenFlows);
+///  * a service owns no flow of a route if the route can't have led there
+///    without the balancer's knowledge (RouteHistory).
 /// Everything else is unknown. What is unknown is neither claimed nor denied
 /// nor reset: the upstream is queried, or the lookup goes on to other members
 /// and ends without certainty.
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "cowslip/base.h"
 #include "cowslip/segment/segment.h"
@@ -95,4 +98,39 @@
   bool upstream_is_younger_ = false;
 };
 
+/// Decides whether a balancer knows all services that a route led to while its
+/// open flows began.
+///
+/// A balancer knows the versions that it had in force. Another one may come and
+/// go meanwhile: while this process is suspended or partitioned, or between two
+/// fetches.
+class RouteHistory {
+ public:
+  /// Age at which a confirmation that the version in force is the newest one is
+  /// outdated: several times the interval of watches.
+  static constexpr std::chrono::seconds kMaxVerifiedAge{5};
+
+  explicit RouteHistory(TimePoint start) : window_(start) {}
+
+  /// A version has come into force. @param follows_previous whether there was
+  /// no version between it and the one before.
+  void OnApplied(std::uint64_t version, bool follows_previous, TimePoint now);
+  /// The process was suspended, or the store has come back from an older copy:
+  /// other balancers may have had versions in force that this one never sees.
+  void OnInterrupted(TimePoint now) { window_.OpenGap(now); }
+  /// This version is in the store, or some balancer uses it.
+  void OnVersionSeen(std::uint64_t version);
+  /// Some balancer has read the store at this time, and OnVersionSeen() was
+  /// called for what it held.
+  void OnVerified(TimePoint read_at);
+  /// @return whether no other service can own a flow of the route.
+  bool IsComplete(TimePoint now) const;
+
+ private:
+  KnowledgeWindow window_;
+  std::uint64_t version_ = 0;      ///< In force at this balancer.
+  std::uint64_t newest_seen_ = 0;  ///< In the store, or at any balancer.
+  std::optional<TimePoint> verified_at_;
+};
+
 }  // namespace cowslip::segment
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -79,12 +79,14 @@
       observer_(&observer),
       started_(started),
       routes_(std::make_shared<RouteTable>()),
+      route_history_(started),
       members_(sidecar_states_),
       hints_(MakeHints()) {}
 
-/// @return whether this process has run for longer than any open connection.
-bool Balancer::KnowsFormerServices(TimePoint now) const {
-  return now - started_ >= kMaxFlowAge;
+void Balancer::SetRoutes(std::shared_ptr<const RouteTable> routes,
+                         bool follows_previous, TimePoint now) {
+  routes_ = std::move(routes);
+  route_history_.OnApplied(routes_->version, follows_previous, now);
 }
 
 /// Detects a balancer behind a partition that the routers reach and the
@@ -274,6 +276,7 @@
     LogDecision("member_answers", "receipt", ack.flow, sidecar);
   }
   sidecar_states_.OnAck(sidecar, ack, now);
+  route_history_.OnVersionSeen(ack.config);
   MeasureRoundTrip(sidecar, ack, now);
   switch (ack.verdict) {
     case AckStatus::kProbeReply:
@@ -343,7 +346,7 @@
 /// services.
 bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
   return complete_since_ && now - *complete_since_ >= kUpdatePropagationTime &&
-         members_.IsStable(route, now);
+         members_.IsStable(route, KnowsFormerServices(now), now);
 }
 
 /// @return whether no other transmission of the SYN may still reach an
@@ -528,7 +531,8 @@
   }
 }
 
-void Balancer::OnResume() {
+void Balancer::OnResume(TimePoint now) {
+  route_history_.OnInterrupted(now);
   stats_.outdated += pending_.size();
   pending_.clear();
   isolated_since_.reset();
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -74,34 +74,20 @@
 
 bool CandidateSelector::AllResponsive(const Route& route,
                                       bool knows_former) const {
-  const auto responsive = [&](ServiceTag tag) {
+  return AllServices(route, knows_former, [&](ServiceTag tag) {
     return !AnyMember(tag, [&](InstanceAddress member) {
       return sidecar_states_->IsUnresponsive(member);
     });
-  };
-  if (!knows_former) {
-    return std::all_of(
-        services_.begin(), services_.end(),
-        [&](const auto& each) { return responsive(each.first); });
-  }
-  return std::all_of(
-             route.targets.begin(), route.targets.end(),
-             [&](const auto& target) { return responsive(target.service); }) &&
-         std::all_of(route.former_services.begin(), route.former_services.end(),
-                     responsive);
+  });
 }
 
-bool CandidateSelector::IsStable(const Route& route, TimePoint now) const {
-  const auto stable = [&](ServiceTag tag) {
+bool CandidateSelector::IsStable(const Route& route, bool knows_former,
+                                 TimePoint now) const {
+  return AllServices(route, knows_former, [&](ServiceTag tag) {
     const auto service = services_.find(tag);
     return service == services_.end() ||
            now - service->second.last_join >= kStabilityDelay;
-  };
-  return std::all_of(
-             route.targets.begin(), route.targets.end(),
-             [&](const auto& target) { return stable(target.service); }) &&
-         std::all_of(route.former_services.begin(), route.former_services.end(),
-                     stable);
+  });
 }
 
 /// Orders the top-ranked sidecars by their last reported wait.
--- a/packages/segment/src/flow_knowledge.cc
+++ b/packages/segment/src/flow_knowledge.cc
@@ -1,5 +1,7 @@
 #include "cowslip/segment/flow_knowledge.h"
 
+#include <algorithm>
+
 namespace cowslip::segment {
 namespace {
 
@@ -49,4 +51,25 @@
   return !upstream_is_younger_ && !window_.CoversAllFlows(now);
 }
 
+void RouteHistory::OnApplied(std::uint64_t version, bool follows_previous,
+                             TimePoint now) {
+  if (!follows_previous) window_.OpenGap(now);
+  version_ = version;
+}
+
+void RouteHistory::OnVersionSeen(std::uint64_t version) {
+  newest_seen_ = std::max(newest_seen_, version);
+}
+
+void RouteHistory::OnVerified(TimePoint read_at) {
+  if (!verified_at_ || read_at > *verified_at_) verified_at_ = read_at;
+}
+
+bool RouteHistory::IsComplete(TimePoint now) const {
+  const bool is_current = verified_at_ &&
+                          now - *verified_at_ <= kMaxVerifiedAge &&
+                          newest_seen_ <= version_;
+  return is_current && window_.CoversAllFlows(now);
+}
+
 }  // namespace cowslip::segment
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 
+#include "platform/document_fetch.h"
 #include "platform/heartbeat.h"
 #include "platform/packet_header.h"
 #include "platform/route_document.h"
@@ -170,6 +171,17 @@
 }
 
 // Parsers must not crash or read out of bounds on randomly changed bytes.
+BOOST_AUTO_TEST_CASE(PredecessorHeaderRoundTrip) {
+  const peers::ConfigVersion version{7, 0, UINT64_MAX};
+  const auto read = ParsePredecessor(FormatPredecessor(version));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(read->SameDocument(version));
+  for (const auto* invalid : {"", ":", "7", "7:", "7:x", "7:1:2", "-7:1",
+                              "7:99999999999999999999999"}) {
+    BOOST_TEST(!ParsePredecessor(invalid).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RandomBytesCauseNoCrash) {
   std::mt19937_64 random(7);
   for (int i = 0; i < 20000; ++i) {
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -233,6 +233,36 @@
   BOOST_TEST((std::max(before, StorePosition{2, 7}) == StorePosition{2, 7}));
 }
 
+BOOST_AUTO_TEST_CASE(OnlyAnUnbrokenWatchShowsWhichVersionFollows) {
+  const ConfigVersion first{3, 1, 33};
+  const ConfigVersion second{7, 1, 77};
+  const ConfigVersion third{8, 1, 88};
+  VersionChain chain;
+  chain.OnChange(second);
+  BOOST_TEST(!chain.LinkOf(second).has_value());
+  chain.OnRead(first);
+  chain.OnChange(second);
+  BOOST_TEST(chain.Follows(second, first));
+  BOOST_TEST(!chain.Follows(third, first));
+  chain.OnWatchBroken();
+  chain.OnRead(third);
+  BOOST_TEST(!chain.LinkOf(third).has_value());
+  // Another instance has followed the change.
+  chain.OnLink({third, second});
+  BOOST_TEST(chain.Follows(third, second));
+  BOOST_TEST(!chain.Follows(third, first));
+}
+
+// A read that the watch has overtaken doesn't put the chain back.
+BOOST_AUTO_TEST_CASE(LateReadIsNoPredecessor) {
+  VersionChain chain;
+  chain.OnRead({3, 1, 33});
+  chain.OnChange({7, 1, 77});
+  chain.OnRead({3, 1, 33});
+  chain.OnChange({8, 1, 88});
+  BOOST_TEST(chain.Follows({8, 1, 88}, {7, 1, 77}));
+}
+
 // A balancer that takes the list for complete resets the flows of sidecars that
 // are not in it.
 BOOST_AUTO_TEST_CASE(ListOfAStoreThatHasJustReturnedIsNotComplete) {
--- a/tests/platform/store_fixture.h
+++ b/tests/platform/store_fixture.h
@@ -62,17 +62,20 @@
   std::unique_ptr<standins::StoreStandin> store = Open();
   StoreClient client{loop.base(), store_address};
   std::function<void()> on_verified = [] {};
+  /// Whether the version applied last directly follows the one before.
+  bool follows_previous = false;
   std::uint64_t verified = 0;
   std::uint64_t failed = 0;
-  ConfigFollower follower{loop,
-                          client,
-                          std::chrono::milliseconds(1000),
-                          {[](auto) {},
-                           [this] {
-                             ++verified;
-                             on_verified();
-                           },
-                           [this] { ++failed; }}};
+  ConfigFollower follower{
+      loop,
+      client,
+      std::chrono::milliseconds(1000),
+      {[this](auto, bool follows) { follows_previous = follows; },
+       [this] {
+         ++verified;
+         on_verified();
+       },
+       [this] { ++failed; }}};
 };
 
 }  // namespace cowslip::platform_adapter::test
--- a/tests/platform/store_return_test.cc
+++ b/tests/platform/store_return_test.cc
@@ -106,6 +106,32 @@
   BOOST_TEST(follower.version().number == 4U);
 }
 
+// A watch that is answered without a break shows each version.
+BOOST_FIXTURE_TEST_CASE(WatchedVersionFollowsTheOneBefore, Fixture) {
+  StartWatching();
+  BOOST_TEST(!follows_previous);
+  store->Put(kConfigKey, Document(4));
+  BOOST_REQUIRE(HasVersion(4, kShortTime));
+  BOOST_TEST(follows_previous);
+  BOOST_REQUIRE(follower.link().has_value());
+  BOOST_TEST(follower.link()->predecessor.digest ==
+             peers::DocumentDigest(Document(1)));
+}
+
+// A version came and went while the store did not answer the watch.
+BOOST_FIXTURE_TEST_CASE(VersionAfterABrokenWatchMayNotFollow, Fixture) {
+  StartWatching();
+  store->SetFault(standins::StoreFault::kBusy);
+  store->CutWatches();
+  RunFor(loop, milliseconds(200));
+  store->Put(kConfigKey, Document(4));
+  store->Put(kConfigKey, Document(5));
+  store->SetFault(standins::StoreFault::kNone);
+  BOOST_REQUIRE(HasVersion(5, kConfigDeadline));
+  BOOST_TEST(!follows_previous);
+  BOOST_TEST(!follower.link().has_value());
+}
+
 // The operator takes the number of a lost version again.
 BOOST_FIXTURE_TEST_CASE(LostNumberWithOtherContentsIsInForce, Fixture) {
   StartWatching();
--- a/tests/segment/flow_knowledge_test.cc
+++ b/tests/segment/flow_knowledge_test.cc
@@ -148,4 +148,58 @@
   BOOST_TEST(!unseen.MayExist(After(seconds(170))));
 }
 
+/// A balancer that has known all versions for long, and that 7 is the newest.
+RouteHistory MakeRouteHistory() {
+  RouteHistory history(After(seconds(-100)));
+  history.OnApplied(7, true, After(seconds(-50)));
+  history.OnVersionSeen(7);
+  history.OnVerified(After(seconds(0)));
+  return history;
+}
+
+BOOST_AUTO_TEST_CASE(RouteHistoryIsCompleteOnceAllFlowsBeganInIt) {
+  RouteHistory history(After(seconds(0)));
+  history.OnApplied(7, true, After(seconds(1)));
+  history.OnVerified(After(seconds(70)));
+  BOOST_TEST(!history.IsComplete(After(seconds(69))));
+  BOOST_TEST(history.IsComplete(After(seconds(70))));
+}
+
+BOOST_AUTO_TEST_CASE(VersionThatMayNotFollowDirectlyOpensAGap) {
+  auto history = MakeRouteHistory();
+  BOOST_TEST(history.IsComplete(After(seconds(1))));
+  history.OnApplied(8, true, After(seconds(1)));
+  BOOST_TEST(history.IsComplete(After(seconds(1))));
+  history.OnApplied(12, false, After(seconds(2)));
+  for (int second = 2; second <= 72; ++second) {
+    history.OnVerified(After(seconds(second)));
+    BOOST_TEST(history.IsComplete(After(seconds(second))) == (second == 72));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(InterruptionOpensAGap) {
+  auto history = MakeRouteHistory();
+  history.OnInterrupted(After(seconds(1)));
+  history.OnVerified(After(seconds(60)));
+  BOOST_TEST(!history.IsComplete(After(seconds(60))));
+}
+
+BOOST_AUTO_TEST_CASE(BalancerBehindANewerVersionKnowsNoHistory) {
+  auto history = MakeRouteHistory();
+  history.OnVersionSeen(9);
+  BOOST_TEST(!history.IsComplete(After(seconds(1))));
+  history.OnApplied(9, true, After(seconds(1)));
+  BOOST_TEST(history.IsComplete(After(seconds(1))));
+}
+
+// Cut off from the store and from those that read it.
+BOOST_AUTO_TEST_CASE(HistoryWithoutRecentConfirmationIsUnknown) {
+  auto history = MakeRouteHistory();
+  BOOST_TEST(history.IsComplete(After(RouteHistory::kMaxVerifiedAge)));
+  BOOST_TEST(!history.IsComplete(
+      After(RouteHistory::kMaxVerifiedAge + milliseconds(1))));
+  history.OnVerified(After(seconds(9)));
+  BOOST_TEST(history.IsComplete(After(seconds(10))));
+}
+
 }  // namespace cowslip::segment
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -479,6 +479,53 @@
   for (int i = 3; i < 6; ++i) BOOST_TEST(sim.upstream(i).not_owned() == 0);
 }
 
+// A balancer was suspended while a route was moved and moved back. Flows that
+// began meanwhile live at a service that it never knew (review, case 3).
+BOOST_AUTO_TEST_CASE(FlowSurvivesVersionThatABalancerMissed) {
+  for (const bool suspended : {true, false}) {
+    Simulation sim;
+    sim.AddBalancer(0);
+    sim.AddBalancer(1);
+    AddService(sim, 3);
+    for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
+    sim.UpdateAllMembers();
+    for (int i = 3; i < 6; ++i) sim.Report(i);
+    sim.Run(kMaxFlowAge + seconds(5));
+    if (suspended) sim.Suspend(1);
+    sim.SetRoutesOf(0, Simulation::MakeRoutes(2, "custody"));
+    OpenCallers(sim, 20, milliseconds(20));
+    sim.SetRoutesOf(0, Simulation::MakeRoutes(3, "vault"));
+    if (suspended) sim.Resume(1);
+    sim.SetRoutesOf(1, Simulation::MakeRoutes(3, "vault"));
+    sim.Run(seconds(6));
+    sim.RouteCallersTo(1);
+    for (auto& caller : sim.callers()) caller->Ask();
+    sim.Run(seconds(2));
+    BOOST_TEST(sim.wrong_resets() == 0);
+    BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
+  }
+}
+
+// The balancer has not received the new version yet; another one uses it.
+BOOST_AUTO_TEST_CASE(NoResetWhileBalancerIsBehind) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 3);
+  for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
+  sim.UpdateAllMembers();
+  for (int i = 3; i < 6; ++i) sim.Report(i);
+  sim.Run(kMaxFlowAge + seconds(5));
+  BOOST_TEST(sim.balancer(1).KnowsFormerServices(sim.now()));
+  sim.SetRoutesOf(0, Simulation::MakeRoutes(2, "custody"));
+  OpenCallers(sim, 20, milliseconds(20));
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(seconds(2));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
+}
+
 // Fault soak, seed 409107: the ack of a retransmitted packet was counted for
 // the next part of the candidate list, whose frame a crashed member had lost.
 BOOST_AUTO_TEST_CASE(TwoPacketsOfFlowShareOneLookup) {
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -117,14 +117,30 @@
   host.sidecar->OnReport(report, now_);
 }
 
-void Simulation::SetRoutes(std::uint64_t version, const std::string& service,
-                           milliseconds latency_target) {
+std::shared_ptr<RouteTable> Simulation::MakeRoutes(std::uint64_t version,
+                                                   const std::string& service) {
   auto routes = std::make_shared<RouteTable>();
   routes->version = version;
+  routes->routes[kServiceAddress].targets.push_back({TagOf(service), 1});
+  return routes;
+}
+
+void Simulation::SetRoutes(std::uint64_t version, const std::string& service,
+                           milliseconds latency_target) {
+  const auto routes = MakeRoutes(version, service);
   auto& route = routes->routes[kServiceAddress];
-  route.targets.push_back({TagOf(service), 1});
   if (latency_target > milliseconds{0}) route.latency_target = latency_target;
-  for (auto& [index, balancer] : balancers_) balancer->SetRoutes(routes);
+  for (auto& [index, balancer] : balancers_) SetRoutesOf(index, routes);
+}
+
+void Simulation::SetRoutesOf(int index,
+                             const std::shared_ptr<RouteTable>& routes) {
+  auto& balancer = *balancers_.at(index);
+  auto table = std::make_shared<RouteTable>(*routes);
+  table->InheritFormerServices(balancer.routes());
+  const auto version = balancer.routes().version;
+  balancer.SetRoutes(table, version + 1 == table->version, now_);
+  newest_version_ = std::max(newest_version_, table->version);
 }
 
 void Simulation::UpdateMembers(int balancer, const std::string& service,
@@ -198,7 +214,7 @@
 void Simulation::Resume(int index) {
   const auto backlog = std::move(suspended_.at(index));
   suspended_.erase(index);
-  balancer(index).OnResume();
+  balancer(index).OnResume(now_);
   for (const auto& handle : backlog) handle();
 }
 
@@ -311,6 +327,7 @@
   for (auto& [index, balancer] : balancers_) {
     if (suspended_.contains(index)) continue;
     Outbox out;
+    balancer->OnStoreRead(newest_version_, now_);
     balancer->OnTick(now_, out);
     ExecuteEffects(BalancerAddress(index), out);
   }
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -39,6 +39,12 @@
   /// @param latency_target of the route, none if 0.
   void SetRoutes(std::uint64_t version, const std::string& service,
                  std::chrono::milliseconds latency_target = {});
+  /// Sets the routes of one balancer. A version directly follows the one before
+  /// if its number does.
+  void SetRoutesOf(int balancer, const std::shared_ptr<RouteTable>& routes);
+  /// @return a version with one route, which leads to a service.
+  static std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version,
+                                                const std::string& service);
   /// Sets the members of a service at one balancer.
   void UpdateMembers(int balancer, const std::string& service,
                      const std::vector<int>& sidecars);
@@ -146,6 +152,7 @@
   std::map<InstanceAddress, Link> links_;
   /// Datagrams in the sockets of suspended balancers.
   std::map<int, std::deque<std::function<void()>>> suspended_;
+  std::uint64_t newest_version_ = 0;  ///< Of those given to any balancer.
   double loss_ = 0;
   int wrong_resets_ = 0;
   std::uint64_t datagrams_ = 0;
