A late report no longer passes for a proof that the upstream restarted

The report of the running process then counted as a restart that the sidecar had seen, so it denied all flows that it had not placed itself.

Fix: two reports of different processes prove nothing; whether the upstream's present process is younger than all earlier ones of the sidecar follows from its own reports alone (UnseenFlows).

--- a/packages/segment/include/cowslip/segment/upstream_gate.h
+++ b/packages/segment/include/cowslip/segment/upstream_gate.h
@@ -54,9 +54,6 @@
   bool open() const { return state_ == Lifecycle::kAccepting; }
   Lifecycle state() const { return state_; }
   const UpstreamReport& report() const { return report_; }
-  /// @return whether the upstream has restarted while this sidecar ran, so that
-  /// the flow table holds all flows of its current process.
-  bool saw_restart() const { return restart_seen_; }
 
  private:
   bool IsOutdated(const UpstreamReport& report, TimePoint now) const;
@@ -64,7 +61,6 @@
   Lifecycle state_ = Lifecycle::kUnknown;
   UpstreamReport report_;
   bool has_report_ = false;
-  bool restart_seen_ = false;
   TimePoint last_report_time_{};
   int unanswered_syns_ = 0;
 };
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -46,7 +46,7 @@
 
 bool Sidecar::UpstreamMayOwnUnseenFlows(TimePoint now) const {
   if (liveness_.is_missing()) return false;
-  return unseen_flows_.MayExist(now) && !upstream_state_.saw_restart();
+  return unseen_flows_.MayExist(now);
 }
 
 bool Sidecar::UpstreamIsAlive() const {
--- a/packages/segment/src/upstream_gate.cc
+++ b/packages/segment/src/upstream_gate.cc
@@ -44,7 +44,6 @@
   has_report_ = true;
   last_report_time_ = now;
   if (restarted) {
-    restart_seen_ = true;
     unanswered_syns_ = 0;
   }
   if (report.draining) {
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -192,6 +192,38 @@
   BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
 }
 
+// The first report that a restarted sidecar gets is a delayed one of the
+// upstream's process before; the present one then seems to have just started
+// (review, case 5).
+BOOST_AUTO_TEST_CASE(LateReportIsNoProofOfARestart) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 5);
+  sim.Run(seconds(1));
+  for (int i = 0; i < 5; ++i) {
+    sim.RestartUpstream(i);
+    sim.Report(i);
+  }
+  OpenCallers(sim, 40, milliseconds(10));
+  sim.Run(seconds(2));
+  for (int i = 0; i < 5; ++i) {
+    sim.RestartSidecar(i);
+    UpstreamReport late;
+    late.id = "upstream-" + std::to_string(i) + "-1";
+    late.started_at = milliseconds(1);
+    late.sequence = 1;
+    sim.sidecar(i).OnReport(late, sim.now());
+    sim.Run(milliseconds(100));
+    sim.Report(i);
+  }
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(seconds(3));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
+}
+
 // The store has lost the newest version, and all balancers that had it are
 // gone. Until operators write it again, no balancer can have it.
 BOOST_AUTO_TEST_CASE(SynsAreAcceptedWithTheVersionThatTheStoreHasKept) {
