A late deregistration no longer closes the next process of an upstream

Cause: the message was matched by id only. Before the first report any deregistration closed the upstream.

Evidence: without the comparison of starts, LateDeregistrationDoesNotCloseTheNextProcess fails.

Fix: a deregistration counts for the process that it names by id and start (born), once a report has shown that this is the present one. A body without a start is matched by id as before.

--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -59,9 +59,10 @@
 
   /// Handles a status report of the upstream.
   ReportResult OnReport(const UpstreamReport& report, TimePoint now);
-  /// The upstream process with this id has deregistered.
-  void OnDeregistered(std::string_view id) {
-    upstream_state_.OnDeregistered(id);
+  /// An upstream process has deregistered, see UpstreamStateTracker.
+  bool OnDeregistered(std::string_view id,
+                      std::optional<std::chrono::milliseconds> started_at) {
+    return upstream_state_.OnDeregistered(id, started_at);
   }
   /// The store has come back from an older copy: the newest configuration seen
   /// may be lost. Balancers with an older one count as outdated only once some
--- a/packages/segment/include/cowslip/segment/upstream_gate.h
+++ b/packages/segment/include/cowslip/segment/upstream_gate.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -44,8 +45,12 @@
   static constexpr std::chrono::seconds kSupersedeDelay{3};
 
   ReportResult OnReport(const UpstreamReport& report, TimePoint now);
-  /// The upstream process with this id has deregistered.
-  void OnDeregistered(std::string_view id);
+  /// An upstream process has deregistered.
+  /// @param started_at its start, std::nullopt if it is not known.
+  /// @return whether it is the present process; a message of an earlier one may
+  ///     be late.
+  bool OnDeregistered(std::string_view id,
+                      std::optional<std::chrono::milliseconds> started_at);
   /// A SYN was not answered in time.
   void OnUnanswered();
   /// A packet of the upstream arrived.
--- a/packages/segment/src/upstream_gate.cc
+++ b/packages/segment/src/upstream_gate.cc
@@ -55,9 +55,12 @@
   return restarted ? ReportResult::kNewIncarnation : ReportResult::kApplied;
 }
 
-void UpstreamStateTracker::OnDeregistered(std::string_view id) {
-  if (!report_.id.empty() && id != report_.id) return;
-  state_ = Lifecycle::kDeregistered;
+bool UpstreamStateTracker::OnDeregistered(
+    std::string_view id, std::optional<std::chrono::milliseconds> started_at) {
+  const bool is_present = has_report_ && id == report_.id &&
+                          (!started_at || *started_at == report_.started_at);
+  if (is_present) state_ = Lifecycle::kDeregistered;
+  return is_present;
 }
 
 void UpstreamStateTracker::OnUnanswered() {
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -125,6 +125,16 @@
   BOOST_TEST(!heartbeat->report.draining);
 }
 
+BOOST_AUTO_TEST_CASE(ReadsTheProcessThatDeregisters) {
+  const auto started_at = ParseDeregistration(R"({"born":1700})");
+  BOOST_REQUIRE(started_at.has_value());
+  BOOST_TEST(started_at->count() == 1700);
+  for (const auto* body :
+       {"", "{}", "[", R"({"born":"1"})", R"({"born":-1})"}) {
+    BOOST_TEST(!ParseDeregistration(body).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidHeartbeatsAreRejected) {
   const std::pair<const char*, const char*> cases[] = {
       {"\"capacity\":2", "\"capacity\":\"2\""},
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -52,7 +52,7 @@
   upstream_state.OnReport(MakeReport("a", 1, 1, true), kStart);
   upstream_state.OnReport(MakeReport("a", 1, 2), kStart + seconds(1));
   BOOST_TEST(!upstream_state.open());
-  upstream_state.OnDeregistered("a");
+  upstream_state.OnDeregistered("a", std::nullopt);
   upstream_state.OnReport(MakeReport("a", 1, 3), kStart + seconds(2));
   BOOST_TEST(!upstream_state.open());
 }
@@ -79,7 +79,7 @@
 BOOST_AUTO_TEST_CASE(RestartIsAcceptedAfterClockWasSetBack) {
   UpstreamStateTracker upstream_state;
   upstream_state.OnReport(MakeReport("a", 5000, 4), kStart);
-  upstream_state.OnDeregistered("a");
+  upstream_state.OnDeregistered("a", std::nullopt);
   upstream_state.OnReport(MakeReport("b", 3000, 1), kStart + milliseconds(500));
   BOOST_TEST(upstream_state.open());
 }
@@ -98,10 +98,22 @@
 BOOST_AUTO_TEST_CASE(DeregistrationOfOtherProcessIsIgnored) {
   UpstreamStateTracker upstream_state;
   upstream_state.OnReport(MakeReport("b", 2, 1), kStart);
-  upstream_state.OnDeregistered("a");
+  upstream_state.OnDeregistered("a", std::nullopt);
   BOOST_TEST(upstream_state.open());
 }
 
+// An upstream has started again under its id; the message of the process before
+// was delayed.
+BOOST_AUTO_TEST_CASE(LateDeregistrationDoesNotCloseTheNextProcess) {
+  UpstreamStateTracker upstream_state;
+  BOOST_TEST(!upstream_state.OnDeregistered("a", milliseconds(1)));
+  upstream_state.OnReport(MakeReport("a", 2, 1), kStart);
+  BOOST_TEST(!upstream_state.OnDeregistered("a", milliseconds(1)));
+  BOOST_TEST(upstream_state.open());
+  BOOST_TEST(upstream_state.OnDeregistered("a", milliseconds(2)));
+  BOOST_TEST((upstream_state.state() == Lifecycle::kDeregistered));
+}
+
 BOOST_AUTO_TEST_CASE(LoadCountsExpectedAndRunningRequests) {
   LoadEstimator load;
   load.SetSlots(2);
