Members that joined during a suspension are no longer denied their flows

Callers would see: after a balancer was frozen while servers were added, it reset the flows of the new members with the first packets of its backlog, before it had heard of them.

Fix: MembershipKnowledge (flow_knowledge.h). A suspension opens a gap, and so do 1.5 s without a message of another balancer (a cut); it closes 2 s later, within which comparisons of the tables repair what was missed. Until then no flow is reset as unheld; lookups and all else go on.

--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -51,12 +51,13 @@
   void SetMembers(ServiceTag service, const std::vector<Member>& members,
                   TimePoint now) {
     // The members of the first complete list did not join just now.
-    members_.ReplaceMembers(service, members, complete_since_.has_value(), now);
+    members_.ReplaceMembers(service, members, membership_.is_listed(), now);
   }
   /// Call once the member lists hold all members that the store lists.
-  void OnMembershipComplete(TimePoint now) {
-    if (!complete_since_) complete_since_ = now;
-  }
+  void OnMembershipComplete(TimePoint now) { membership_.OnListed(now); }
+  /// A message of another balancer has arrived, with which members are
+  /// exchanged.
+  void OnBalancerMessage(TimePoint now) { membership_.OnMessage(now); }
   /// Discards the state of a sidecar whose process has restarted.
   void OnSidecarRestart(InstanceAddress sidecar) {
     sidecar_states_.Erase(sidecar);
@@ -149,7 +150,7 @@
   InstanceAddress self_;
   Observer* observer_;
   TimePoint started_;
-  std::optional<TimePoint> complete_since_;
+  MembershipKnowledge membership_;
   std::optional<TimePoint> isolated_since_;
   std::shared_ptr<const RouteTable> routes_;
   RouteHistory route_history_;
--- a/packages/segment/include/cowslip/segment/flow_knowledge.h
+++ b/packages/segment/include/cowslip/segment/flow_knowledge.h
@@ -9,7 +9,9 @@
 ///    since a time that a KnowledgeWindow covers, or because the upstream is
 ///    younger than the process (UnseenFlows);
 ///  * a service owns no flow of a route if the route can't have led there
-///    without the balancer's knowledge (RouteHistory).
+///    without the balancer's knowledge (RouteHistory);
+///  * no member owns a flow if all that may own it are listed
+///    (MembershipKnowledge) and each has said that it doesn't.
 /// Everything else is unknown. What is unknown is neither claimed nor denied
 /// nor reset: the upstream is queried, or the lookup goes on to other members
 /// and ends without certainty.
@@ -133,4 +135,36 @@
   std::optional<TimePoint> verified_at_;
 };
 
+/// Decides whether a balancer's lists hold every member that may own a flow.
+///
+/// Other balancers send each change, and repair what was lost by comparing
+/// their lists with those of this one.
+class MembershipKnowledge {
+ public:
+  /// Time that an update takes: a few milliseconds, or 100 ms through an
+  /// instance that has used up its processor quota.
+  static constexpr std::chrono::milliseconds kUpdateTime{200};
+  /// Time within which comparisons find what was missed, also if a third of the
+  /// messages is lost.
+  static constexpr std::chrono::milliseconds kRepairTime{2000};
+  /// Time without a message of another balancer after which changes may have
+  /// been missed; on average there are two in 300 ms.
+  static constexpr std::chrono::milliseconds kMaxSilence{1500};
+
+  /// The lists hold all members that the store lists.
+  void OnListed(TimePoint now);
+  /// The process was suspended.
+  void OnInterrupted(TimePoint now);
+  /// A message of another balancer has arrived.
+  void OnMessage(TimePoint now);
+  /// @return whether OnListed() was called.
+  bool is_listed() const { return complete_from_.has_value(); }
+  /// @return whether no member can be missing.
+  bool IsComplete(TimePoint now) const;
+
+ private:
+  std::optional<TimePoint> complete_from_;
+  std::optional<TimePoint> last_message_;
+};
+
 }  // namespace cowslip::segment
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -44,9 +44,6 @@
 /// Time until a lost flow is dropped. If its caller sends again, there is a new
 /// lookup.
 constexpr std::chrono::milliseconds kLostFlowLifetime{1500};
-/// Time that a membership update takes: a few milliseconds, or 100 ms through
-/// an instance that has used up its CPU quota.
-constexpr std::chrono::milliseconds kUpdatePropagationTime{200};
 
 /// @param copy number of the SYN's copy as the caller sent it: any value, 0 for
 /// the first copy.
@@ -345,7 +342,7 @@
 /// @return whether this balancer has an entry of every member of the route's
 /// services.
 bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
-  return complete_since_ && now - *complete_since_ >= kUpdatePropagationTime &&
+  return membership_.IsComplete(now) &&
          members_.IsStable(route, KnowsFormerServices(now), now);
 }
 
@@ -533,6 +530,7 @@
 
 void Balancer::OnResume(TimePoint now) {
   route_history_.OnInterrupted(now);
+  membership_.OnInterrupted(now);
   stats_.outdated += pending_.size();
   pending_.clear();
   isolated_since_.reset();
--- a/packages/segment/src/flow_knowledge.cc
+++ b/packages/segment/src/flow_knowledge.cc
@@ -72,4 +72,24 @@
   return is_current && window_.CoversAllFlows(now);
 }
 
+void MembershipKnowledge::OnListed(TimePoint now) {
+  if (!complete_from_) complete_from_ = now + kUpdateTime;
+}
+
+void MembershipKnowledge::OnInterrupted(TimePoint now) {
+  if (complete_from_) {
+    complete_from_ = std::max(*complete_from_, now + kRepairTime);
+  }
+}
+
+void MembershipKnowledge::OnMessage(TimePoint now) {
+  if (last_message_ && now - *last_message_ > kMaxSilence) OnInterrupted(now);
+  last_message_ = now;
+}
+
+bool MembershipKnowledge::IsComplete(TimePoint now) const {
+  const bool is_silent = last_message_ && now - *last_message_ > kMaxSilence;
+  return complete_from_ && now >= *complete_from_ && !is_silent;
+}
+
 }  // namespace cowslip::segment
--- a/tests/segment/flow_knowledge_test.cc
+++ b/tests/segment/flow_knowledge_test.cc
@@ -192,6 +192,38 @@
   BOOST_TEST(history.IsComplete(After(seconds(1))));
 }
 
+BOOST_AUTO_TEST_CASE(ListedMembersAreCompleteOnceUpdatesHaveArrived) {
+  MembershipKnowledge members;
+  BOOST_TEST(!members.IsComplete(After(seconds(9))));
+  members.OnListed(After(seconds(1)));
+  BOOST_TEST(!members.IsComplete(After(milliseconds(1199))));
+  BOOST_TEST(members.IsComplete(After(milliseconds(1200))));
+  members.OnListed(After(seconds(9)));
+  BOOST_TEST(members.IsComplete(After(seconds(9))));
+}
+
+BOOST_AUTO_TEST_CASE(SuspensionHidesMembersUntilTheyAreRepaired) {
+  MembershipKnowledge members;
+  members.OnInterrupted(After(seconds(0)));
+  BOOST_TEST(!members.is_listed());
+  members.OnListed(After(seconds(1)));
+  members.OnInterrupted(After(seconds(10)));
+  BOOST_TEST(!members.IsComplete(After(milliseconds(11'999))));
+  BOOST_TEST(members.IsComplete(After(seconds(12))));
+}
+
+BOOST_AUTO_TEST_CASE(MembersAreUnknownWhileOtherBalancersAreSilent) {
+  MembershipKnowledge members;
+  members.OnListed(After(seconds(0)));
+  members.OnMessage(After(seconds(1)));
+  BOOST_TEST(members.IsComplete(After(milliseconds(2500))));
+  BOOST_TEST(!members.IsComplete(After(milliseconds(2501))));
+  members.OnMessage(After(seconds(9)));
+  members.OnMessage(After(seconds(10)));
+  BOOST_TEST(!members.IsComplete(After(milliseconds(10'999))));
+  BOOST_TEST(members.IsComplete(After(seconds(11))));
+}
+
 // Cut off from the store and from those that read it.
 BOOST_AUTO_TEST_CASE(HistoryWithoutRecentConfirmationIsUnknown) {
   auto history = MakeRouteHistory();
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -383,6 +383,32 @@
   BOOST_TEST(Count(sim, CallState::kReset) == 0);
 }
 
+// Members have joined while a balancer was suspended; it hears of them only
+// after its backlog of packets.
+BOOST_AUTO_TEST_CASE(FlowOfMemberThatJoinedDuringASuspensionIsNotReset) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 3);
+  sim.Run(seconds(2));
+  sim.Suspend(1);
+  for (int i = 3; i < 6; ++i) {
+    sim.AddSidecar(i, "vault");
+    sim.Report(i);
+  }
+  sim.UpdateMembers(0, "vault", {0, 1, 2, 3, 4, 5});
+  OpenCallers(sim, 40, milliseconds(20));
+  sim.Run(seconds(2));
+  sim.Resume(1);
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(milliseconds(800));
+  sim.UpdateAllMembers();
+  sim.Run(seconds(2));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
+}
+
 BOOST_AUTO_TEST_CASE(NoResetWhileOwnerIsUnresponsive) {
   Simulation sim;
   sim.AddBalancer(0);
