A sidecar that has discarded records asks its upstream again

Callers would see: with more flows than the table of records holds, the oldest flows were reset once they moved to another balancer.

Evidence: FlowsWithDiscardedRecordsAreNotReset fails before with 20 of 20 flows reset, and passes now.

Fix: discarding the record of a flow that may be open opens a gap in UnseenFlows.

--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -62,6 +62,8 @@
   std::size_t size() const { return flows_.size(); }
   /// @return entries removed because the table was full.
   std::uint64_t evicted() const { return evicted_; }
+  /// @return those of them whose flows may have been open.
+  std::uint64_t evicted_open() const { return evicted_open_; }
 
   /// Removes expired entries. @param on_removed called for each of them.
   template <typename Dropped>
@@ -82,6 +84,7 @@
 
   std::unordered_map<FlowKey, FlowEntry, FlowKeyHash> flows_;
   std::uint64_t evicted_ = 0;
+  std::uint64_t evicted_open_ = 0;
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -137,6 +137,8 @@
   /// accepted.
   bool IsStale(const SegmentFrame& frame, TimePoint now) const;
   void UpdateConfigVersion(std::uint64_t config, TimePoint now);
+  /// Starts a record in the flow table, which may have to discard another one.
+  FlowEntry& StartRecord(const FlowKey& flow, FlowState state, TimePoint now);
   /// Updates the record of a flow from a packet that the upstream sent.
   void RecordUpstreamPacket(const Segment& segment, TimePoint now);
   void TrackRequest(FlowEntry& entry, const Segment& segment, TimePoint now);
--- a/packages/segment/src/flow_state_table.cc
+++ b/packages/segment/src/flow_state_table.cc
@@ -43,6 +43,10 @@
         return a.second.last_activity < b.second.last_activity;
       });
   if (victim == flows_.end()) return;
+  const auto state = victim->second.state;
+  if (state == FlowState::kEstablished || state == FlowState::kSynSent) {
+    ++evicted_open_;
+  }
   flows_.erase(victim);
   ++evicted_;
 }
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -121,7 +121,7 @@
 void Sidecar::Accept(const SegmentFrame& frame, const Segment& segment,
                      ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.taken;
-  auto& entry = flows_.Start(segment.flow, FlowState::kSynSent, now);
+  auto& entry = StartRecord(segment.flow, FlowState::kSynSent, now);
   entry.awaiting_first_request = true;
   load_.OnRequestExpected();
   expected_requests_.push_back({segment.flow, now + kFirstRequestTimeout});
@@ -312,17 +312,25 @@
   out.SendToCaller(segment.flow, packet);
 }
 
+FlowEntry& Sidecar::StartRecord(const FlowKey& flow, FlowState state,
+                                TimePoint now) {
+  const auto evicted = flows_.evicted_open();
+  auto& entry = flows_.Start(flow, state, now);
+  if (flows_.evicted_open() != evicted) unseen_flows_.OnRecordLost(now);
+  return entry;
+}
+
 void Sidecar::RecordUpstreamPacket(const Segment& segment, TimePoint now) {
   auto* entry = flows_.Find(segment.flow);
   const bool unknown = entry == nullptr || entry->state == FlowState::kNotOwned;
   if (ProvesOwnership(segment)) {
     if (unknown) {
-      entry = &flows_.Start(segment.flow, FlowState::kEstablished, now);
+      entry = &StartRecord(segment.flow, FlowState::kEstablished, now);
     } else if (entry->state == FlowState::kSynSent) {
       entry->state = FlowState::kEstablished;
     }
   } else if (entry == nullptr && segment.syn) {
-    entry = &flows_.Start(segment.flow, FlowState::kSynSent, now);
+    entry = &StartRecord(segment.flow, FlowState::kSynSent, now);
   } else if (unknown) {
     return;
   }
@@ -374,7 +382,7 @@
     return;
   }
   if (entry == nullptr) {
-    flows_.Start(segment.flow, FlowState::kNotOwned, now);
+    StartRecord(segment.flow, FlowState::kNotOwned, now);
   } else {
     ReleaseLoad(*entry, now);
     entry->state = FlowState::kNotOwned;
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -224,6 +224,34 @@
   BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
 }
 
+// The table of records is full: the sidecar asks its upstream about flows whose
+// records it has discarded.
+BOOST_AUTO_TEST_CASE(FlowsWithDiscardedRecordsAreNotReset) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 3);
+  OpenCallers(sim, 20, milliseconds(20));
+  sim.Run(seconds(1));
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(!sim.sidecar(i).MayHaveUnseenFlows(sim.now()));
+    Segment packet;
+    packet.ack_flag = true;
+    packet.flow = {{0x64500000, 1}, sim.callers().front()->flow().service};
+    Outbox out;
+    for (std::size_t n = 0; n < FlowStateTable::kCapacity; ++n) {
+      ++packet.flow.caller.address;
+      sim.sidecar(i).OnUpstreamPacket(packet, Bytes(34), sim.now(), out);
+    }
+    BOOST_TEST(sim.sidecar(i).MayHaveUnseenFlows(sim.now()));
+  }
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(seconds(3));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
+}
+
 // The store has lost the newest version, and all balancers that had it are
 // gone. Until operators write it again, no balancer can have it.
 BOOST_AUTO_TEST_CASE(SynsAreAcceptedWithTheVersionThatTheStoreHasKept) {
