A lookup during which members left no longer ends with certainty

Callers would see: while members left, an open flow was reset although its owner was listed.

Cause: a lookup over more than 12 members goes on by position in a ranking that is built anew for each part. After a removal, the next part begins after members that were not queried, and the confirmation queries only the first 12.

Fix: a removal during a lookup makes it uncertain; the caller's next packet starts another one.

--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -32,6 +32,9 @@
   void ReplaceMembers(ServiceTag tag, const std::vector<Member>& members,
                       bool joined_now, TimePoint now);
   bool HasMembers() const;
+  /// @return how often a member was removed. Positions in the ranking that were
+  /// determined before a removal mean other members after it.
+  std::uint64_t removals() const { return removals_; }
   /// @return whether some member of some service is responsive.
   bool HasResponsiveMember() const;
   /// @return whether no member has joined lately that may own a flow.
@@ -93,6 +96,7 @@
 
   const SidecarStateTable* sidecar_states_;
   std::unordered_map<ServiceTag, Service> services_;
+  std::uint64_t removals_ = 0;
   flow::Ranking ranking_;
   std::vector<InstanceAddress> candidates_;
 };
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -34,6 +34,8 @@
   /// Ranked members that the current candidates cover, including unresponsive
   /// ones that were left out.
   std::size_t candidates_covered = 0;
+  /// CandidateSelector::removals() when the lookup began.
+  std::uint64_t removals_before = 0;
   /// Some member may own the flow but could not determine whether it does.
   bool lookup_uncertain = false;
   /// Every member has reported once that it doesn't own the flow.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -184,6 +184,12 @@
   } else {
     frame.inconclusive = false;
     frame.other_service = false;
+    if (pending.candidates_queried == 0) {
+      pending.removals_before = members_.removals();
+    } else if (pending.removals_before != members_.removals()) {
+      // The rest of the list may begin after members that were not queried.
+      pending.lookup_uncertain = true;
+    }
     pending.candidates_covered =
         members_.ListForExistingFlow(*route, hash, pending.candidates_queried,
                                      KnowsFormerServices(now), frame);
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -55,6 +55,13 @@
     if (!known && joined_now) service.last_join = now;
     service.upstreams.push_back(upstream);
   }
+  const bool removed =
+      std::any_of(previous.begin(), previous.end(), [&](const auto& former) {
+        return std::none_of(
+            service.upstreams.begin(), service.upstreams.end(),
+            [&](const auto& each) { return each.id == former.id; });
+      });
+  if (removed) ++removals_;
 }
 
 bool CandidateSelector::HasMembers() const {
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -667,6 +667,43 @@
   for (int i = 4; i < 6; ++i) BOOST_TEST(sim.upstream(i).not_owned() == 0);
 }
 
+// Members leave between two parts of a lookup, so that the next part begins
+// after members that were not queried.
+BOOST_AUTO_TEST_CASE(NoResetIfMembersLeaveDuringALookup) {
+  constexpr int kOwners = 4;
+  constexpr int kMembers = 40;
+  Simulation sim;
+  sim.AddBalancer(0);
+  AddService(sim, kOwners);
+  OpenCallers(sim, 40, milliseconds(10));
+  for (int i = kOwners; i < kMembers; ++i) {
+    sim.AddSidecar(i, "vault");
+    sim.Report(i);
+  }
+  sim.AddBalancer(1);
+  sim.SetRoutes(2, "vault");
+  sim.UpdateAllMembers();
+  sim.Run(seconds(2));
+  sim.RouteCallersTo(1);
+  std::vector<int> all;
+  std::vector<int> rest;
+  for (int i = 0; i < kMembers; ++i) {
+    all.push_back(i);
+    if (i < kOwners || i >= 2 * kMembers / 3) rest.push_back(i);
+  }
+  for (auto& caller : sim.callers()) {
+    sim.UpdateMembers(1, "vault", all);
+    sim.Run(seconds(1));
+    caller->Ask();
+    sim.Run(milliseconds(9));
+    sim.UpdateMembers(1, "vault", rest);
+    sim.Run(milliseconds(100));
+  }
+  sim.Run(seconds(2));
+  BOOST_TEST(sim.wrong_resets() == 0);
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 40);
+}
+
 // A short burst on a service whose upstreams differ in speed fills some of them
 // while others have free slots. Without forwarding to the least loaded one,
 // requests are refused.
