Numbers out of range in heartbeats and routes are refused or limited

Callers would see, until the next heartbeat of the server: no new flows at it (a capacity of 2^32 was cut to no slots), or, for 3 s, a server whose own heartbeats all counted as outdated (a start in the year 2100, or at 2^63). The conversion of 1e300 to an integer is undefined and differs between x86-64 and arm64.

Cause: numbers were converted without a check of their range. One odd heartbeat of another program stands for the server until its next one.

Weights and latency targets of routes are limited, so that a document remains in force as a whole.

--- a/fuzz/adapter_fuzz.cc
+++ b/fuzz/adapter_fuzz.cc
@@ -84,7 +84,8 @@
       frame, platform_adapter::PacketSender::kUpstream));
   tally.Count(peers::Decode(DamagedBytes(kMessage, mutator)));
   tally.Count(platform_adapter::ParseHeartbeat(
-      "i", DamagedText(kHeartbeat, mutator), reason));
+      "i", DamagedText(kHeartbeat, mutator), std::chrono::milliseconds(9000),
+      reason));
   tally.Count(platform_adapter::ParseRouteDocument(
       DamagedText(kRoutes, mutator), reason));
 }
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -30,6 +30,8 @@
   "app": "127.9.0.2:8165", "service": "vault",
   "platform": {"address": "127.9.0.7:8169"}})";
 
+/// When the heartbeat arrives.
+constexpr std::chrono::milliseconds kTimeOfDay{9000};
 const char* const kHeartbeat =
     R"({"service":"vault","address":"10.1.0.9:8165","zone":"ate","version":"v1",
         "capacity":2,"state":"ready","warmupLeftMs":250,"seq":4,"born":1700})";
@@ -117,7 +119,7 @@
 
 BOOST_AUTO_TEST_CASE(ReadsHeartbeats) {
   LastReason<AdapterError> reason;
-  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat, reason);
+  const auto heartbeat = ParseHeartbeat("i-1", kHeartbeat, kTimeOfDay, reason);
   BOOST_REQUIRE_MESSAGE(heartbeat.has_value(), reason.Message());
   BOOST_TEST(heartbeat->report.id == "i-1");
   BOOST_TEST(heartbeat->report.slots == 2U);
@@ -135,6 +137,12 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HeartbeatWithALongIdIsRejected) {
+  LastReason<AdapterError> reason;
+  BOOST_TEST(
+      !ParseHeartbeat(std::string(201, 'i'), kHeartbeat, kTimeOfDay, reason));
+}
+
 BOOST_AUTO_TEST_CASE(InvalidHeartbeatsAreRejected) {
   const std::pair<const char*, const char*> cases[] = {
       {"\"capacity\":2", "\"capacity\":\"2\""},
@@ -142,10 +150,20 @@
       {"\"seq\":4,", ""},
       {"\"born\":1700", "\"born\":1.5"},
       {"\"capacity\":2", "\"capacity\":0"},
+      // Another program has written these. They were cut to other numbers: 2^32
+      // slots to none, so that the upstream got no connections.
+      {"\"capacity\":2", "\"capacity\":4294967296"},
+      {"\"warmupLeftMs\":250", "\"warmupLeftMs\":1e300"},
+      {"\"warmupLeftMs\":250", "\"warmupLeftMs\":-1"},
+      {"\"seq\":4", "\"seq\":18446744073709551615"},
+      // A start in the future makes all reports of the upstream outdated.
+      {"\"born\":1700", "\"born\":9223372036854775808"},
+      {"\"born\":1700", "\"born\":4102444800000"},
       {"10.1.0.9:8165", "nowhere"}};
   for (const auto& [from, to] : cases) {
     LastReason<AdapterError> reason;
-    BOOST_TEST(!ParseHeartbeat("i-1", Replace(kHeartbeat, from, to), reason));
+    BOOST_TEST(!ParseHeartbeat("i-1", Replace(kHeartbeat, from, to), kTimeOfDay,
+                               reason));
     BOOST_TEST(!reason.ok());
   }
 }
@@ -169,6 +187,21 @@
   BOOST_TEST((table->Find(*ParseEndpoint("198.18.0.2:81")) == nullptr));
 }
 
+// The conversion of a number that doesn't fit differs between processors.
+BOOST_AUTO_TEST_CASE(LargeNumbersOfARouteAreLimited) {
+  LastReason<AdapterError> reason;
+  const auto table = ParseRouteDocument(
+      R"({"version":3,"routes":[{"host":"198.18.0.1","prefix":"/80/",
+          "split":[{"service":"a","weight":1e300},{"service":"b","weight":1}],
+          "sloMs":18446744073709551615}]})",
+      reason);
+  BOOST_REQUIRE_MESSAGE(table.has_value(), reason.Message());
+  const auto* route = table->Find({0xC6120001, 80});
+  BOOST_REQUIRE(route != nullptr);
+  BOOST_TEST(route->targets[0].weight == 1'000'000U);
+  BOOST_TEST((*route->latency_target == std::chrono::hours(1)));
+}
+
 BOOST_AUTO_TEST_CASE(DocumentWithAnInvalidRouteIsRejected) {
   for (const char* prefix : {"8443", "/x/", "/70000/", "//"}) {
     LastReason<AdapterError> reason;
@@ -204,7 +237,7 @@
       packet[random() % packet.size()] = static_cast<std::uint8_t>(random());
     }
     LastReason<AdapterError> reason;
-    ParseHeartbeat("i", heartbeat, reason);
+    ParseHeartbeat("i", heartbeat, kTimeOfDay, reason);
     ParseSettings(settings, reason);
     DecodePacketHeader(packet, PacketSender::kUpstream);
   }
