An entry that could never be superseded is dropped

Callers would see: a balancer or sidecar that nobody lists, so its server gets no new flows and lookups leave it out.

Cause: an entry under the system's own prefix that can be decoded was believed whole. One with incarnation 2^64 - 1 for the address of a running instance made that instance take the next number, 0; its peers then dropped all that it published as older, and gossip carried the odd entry to all.

Evidence: EntryThatCouldNeverBeSupersededIsDropped, before: own incarnation 0.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -31,6 +31,8 @@
   ConfigVersion config;         ///< Configuration in force at the sender.
   std::uint64_t store_era = 0;  ///< Newest era that the sender has seen.
   bool watching = false;        ///< The sender watches the store.
+  /// Entries that no instance can have written, and that were dropped.
+  std::uint64_t refused = 0;
   /// The sender asks to keep a copy of its configuration document.
   bool keep_document = false;
 };
@@ -70,6 +72,11 @@
   static constexpr double kRepairRate = 100;
   static constexpr double kRepairBurst = 200;
 
+  /// Limit of the time by which the clock of an instance may be ahead.
+  /// Incarnations are times of day; one that is too high could never be
+  /// superseded.
+  static constexpr std::chrono::hours kMaxClockLead{365 * 24};
+
   Gossip(PeerEntry self, std::uint64_t seed);
 
   /// Sets the addresses that may be balancers, from the settings.
@@ -141,6 +148,8 @@
 
  private:
   void PublishSelf();
+  /// @return whether an instance can have written the entry.
+  bool IsPlausible(const PeerEntry& entry) const;
   /// @return the entries of other instances that were written before the store
   ///     last came back from a copy.
   std::vector<PeerEntry> EntriesBefore(
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -132,10 +132,21 @@
   verified_at_ = std::max(verified_at_, now);
 }
 
+bool Gossip::IsPlausible(const PeerEntry& entry) const {
+  constexpr std::uint64_t kMaxLeadMs =
+      std::chrono::milliseconds(kMaxClockLead).count();
+  const auto limit = self_.incarnation + kMaxLeadMs;
+  return entry.address != 0 && entry.incarnation <= limit;
+}
+
 /// Merges an entry into the table. One with the address of this instance comes
 /// from an earlier process, or from an earlier user of the address; if it is
 /// newer, this instance increases its own incarnation to supersede it.
 void Gossip::MergeEntry(const PeerEntry& entry, MembershipUpdate& update) {
+  if (!IsPlausible(entry)) {
+    ++update.refused;
+    return;
+  }
   if (entry.address == self_.address) {
     if (entry.incarnation != self_.incarnation) predecessor_ = entry;
     if (!entry.NewerThan(self_)) return;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -233,6 +233,25 @@
   BOOST_TEST((std::max(before, StorePosition{2, 7}) == StorePosition{2, 7}));
 }
 
+// Another program has written an entry with the highest number. The instance
+// whose address it names took the next number, 0, and was never listed again.
+BOOST_AUTO_TEST_CASE(EntryThatCouldNeverBeSupersededIsDropped) {
+  constexpr std::uint64_t kStart = 1'700'000'000'000;
+  for (const std::uint64_t incarnation : {UINT64_MAX, 2 * kStart}) {
+    Gossip gossip(MakeEntry(1, true, kStart), 1);
+    const std::vector entries{
+        MakeEntry(1, true, incarnation), MakeEntry(200, false, incarnation),
+        MakeEntry(0, false, kStart), MakeEntry(201, false, kStart + 5000)};
+    const auto update =
+        gossip.OnStoreSnapshot(entries, 1, TimePoint{seconds(50)});
+    BOOST_TEST(update.refused == 3U);
+    BOOST_TEST(gossip.self().incarnation == kStart);
+    BOOST_TEST((gossip.table().Find(200) == nullptr));
+    BOOST_TEST((gossip.table().Find(0) == nullptr));
+    BOOST_TEST((gossip.table().Find(201) != nullptr));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OnlyAnUnbrokenWatchShowsWhichVersionFollows) {
   const ConfigVersion first{3, 1, 33};
   const ConfigVersion second{7, 1, 77};
