An entry of the store counts only under its own key

Cause: a list of the store took every entry of every item that can be decoded, also several in one item, or one under the key of another instance. Another program's copy of an entry could revive an instance that has left.

--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -234,6 +234,28 @@
   }));
 }
 
+// Another program has written odd entries among those of the instances.
+BOOST_FIXTURE_TEST_CASE(OddEntriesAreSkippedInTheList, Fixture) {
+  const std::string prefix = "cowslip/instances/";
+  peers::Message message;
+  message.entries.push_back(MakeEntry(0x0a000002));
+  const auto bytes = peers::Encode(message);
+  const std::string foreign(bytes.begin(), bytes.end());
+  store->Put(prefix + "10.0.0.3", "");
+  store->Put(prefix + "10.0.0.4", std::string(100'000, '['));
+  store->Put(prefix + "10.0.0.5", foreign);
+  store->Put(prefix + "10.0.0.2:70000", foreign);
+  store->Put(prefix + "10.0.0.6", foreign.substr(0, foreign.size() / 2));
+  store->Put(prefix + "10.0.0.2", foreign);
+  Registration reader(loop, client, MakeEntry(1), [](const auto&) {});
+  std::optional<std::vector<peers::PeerEntry>> listed;
+  reader.List([&](const auto& entries) { listed = entries; });
+  BOOST_REQUIRE(
+      RunUntil(loop, kConfigDeadline, [&] { return listed.has_value(); }));
+  BOOST_REQUIRE(listed->size() == 1U);
+  BOOST_TEST(listed->front().address == 0x0a000002U);
+}
+
 BOOST_FIXTURE_TEST_CASE(PredecessorIsReportedOnce, Fixture) {
   const auto entry = MakeEntry(0x0a000001);
   std::vector<bool> reported;
