cowslipd refuses announcements with numbers out of range

Cause: numbers were cut to the type of the field: 2^32 slots to none, a negative weight into the ranking, a start at 2^63 ms to any time when converted to nanoseconds.

Fix: ids, incarnation, slots, start and weight are checked before they are read; an announcement that is out of range is refused with the name of the field, and the others of the list hold.

--- a/packages/membership/src/announcement.cc
+++ b/packages/membership/src/announcement.cc
@@ -10,6 +10,35 @@
 
 constexpr std::string_view kPrefix = "cowslip/upstreams/";
 
+/// Limits of what an announcement may say; other programs may write to the same
+/// store.
+constexpr std::uint32_t kMaxSlots = 65'535;
+constexpr double kMaxWeight = 1e6;
+/// Year 2200; clocks count nanoseconds and end some decades later.
+constexpr milliseconds kMaxStartTime{7'258'118'400'000};
+
+/// @return whether a number is not negative and at most `max`, so that it can
+/// be
+///     converted without a loss.
+bool IsUnsignedUpTo(const nlohmann::json& number, std::uint64_t max) {
+  return number.is_number_unsigned() && number.get<std::uint64_t>() <= max;
+}
+
+/// @return the name of a field that is out of range, empty if there is none.
+std::string_view FindOutOfRange(const nlohmann::json& json) {
+  for (const std::string_view field : {"id", "service"}) {
+    if (!IsUnsignedUpTo(json.at(field), UINT32_MAX)) return field;
+  }
+  if (!IsUnsignedUpTo(json.at("incarnation"), UINT64_MAX)) return "incarnation";
+  if (!IsUnsignedUpTo(json.at("slots"), kMaxSlots)) return "slots";
+  const auto started = static_cast<std::uint64_t>(kMaxStartTime.count());
+  if (!IsUnsignedUpTo(json.at("started_ms"), started)) return "started_ms";
+  const auto weight = json.at("weight").get<double>();
+  // Also false if it is not a number.
+  if (!(weight >= 0 && weight <= kMaxWeight)) return "weight";
+  return {};
+}
+
 UpstreamState ReadState(const nlohmann::json& json) {
   if (json.at("draining").get<bool>()) return UpstreamState::kDraining;
   return json.value("down", false) ? UpstreamState::kDown
@@ -69,7 +98,13 @@
 std::optional<Announcement> DecodeAnnouncement(
     std::string_view json, LastReason<MembershipError>& reason) {
   try {
-    const auto announcement = FromJson(nlohmann::json::parse(json));
+    const auto document = nlohmann::json::parse(json);
+    const auto out_of_range = FindOutOfRange(document);
+    if (!out_of_range.empty()) {
+      reason.Set(MembershipError::kBadAnnouncement, std::string(out_of_range));
+      return std::nullopt;
+    }
+    const auto announcement = FromJson(document);
     if (announcement.upstream.sidecar.port != 0) return announcement;
     reason.Set(MembershipError::kBadAnnouncement, "sidecar");
   } catch (const nlohmann::json::exception& error) {
