Test: one packet finds its owner among restarted sidecars

Cause: two sidecars asked their upstreams about a packet, those further down the list did not, nor did one without a report; and the packet counted as accepted before the upstream had kept it, so that the lookup ended.

--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -164,6 +164,29 @@
   BOOST_TEST(sim.wrong_resets() == 0);
 }
 
+// All sidecars have restarted and have no report yet. Two of them asked their
+// upstreams about a packet, the owner's further down the list did not; the
+// caller's next packet came 0.2 to 1.6 s later (review, case 1).
+BOOST_AUTO_TEST_CASE(OnePacketFindsItsOwnerAmongRestartedSidecars) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  sim.AddBalancer(1);
+  AddService(sim, 10);
+  OpenCallers(sim, 60, milliseconds(10));
+  sim.Run(seconds(1));
+  for (int i = 0; i < 10; ++i) sim.RestartSidecar(i);
+  sim.RouteCallersTo(1);
+  for (auto& caller : sim.callers()) {
+    caller->Ask();
+    sim.Run(milliseconds(20));
+  }
+  sim.Run(milliseconds(180));
+  BOOST_TEST(Count(sim, CallState::kAnswered) == 60);
+  for (const auto& caller : sim.callers()) {
+    BOOST_TEST((caller->elapsed() < milliseconds(200)));
+  }
+}
+
 // An upstream that had answered a copy of the SYN, but was not chosen, sends
 // its SYN-ACK again through a sidecar that has restarted (review, case 2).
 BOOST_AUTO_TEST_CASE(RepeatedSynAckIsNoProofOfOwnership) {
