--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -25,6 +25,9 @@
   /// Lookups that ended early because a member was unresponsive and the budget
   /// was used up.
   std::uint64_t shortened_lookups = 0;
+  /// Lookups that found no owner while one may exist, so that the caller gets
+  /// no answer until it sends again or an owner is known.
+  std::uint64_t uncertain_lookups = 0;
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -402,7 +402,10 @@
   }
   const bool certain = !pending.lookup_uncertain && route != nullptr &&
                        KnowsAllMembers(*route, now);
-  if (!certain) return false;
+  if (!certain) {
+    ++stats_.uncertain_lookups;
+    return false;
+  }
   if (!pending.not_found_once) {
     pending.not_found_once = true;
     pending.next_attempt = now + kConfirmDelay;
