--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -214,6 +214,17 @@
 }
 
 // Parsers must not crash or read out of bounds on randomly changed bytes.
+BOOST_AUTO_TEST_CASE(DeeplyNestedInputIsRejected) {
+  const std::string brackets(100'000, '[');
+  const std::string arrays = std::string(3000, '[') + std::string(3000, ']');
+  for (const auto& nested : {brackets, arrays, "{\"extra\":" + arrays + "}"}) {
+    LastReason<AdapterError> reason;
+    BOOST_TEST(!ParseHeartbeat("i-1", nested, kTimeOfDay, reason));
+    BOOST_TEST(!ParseRouteDocument(nested, reason).has_value());
+    BOOST_TEST(!ParseDeregistration(nested).has_value());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(PredecessorHeaderRoundTrip) {
   const peers::ConfigVersion version{7, 0, UINT64_MAX};
   const auto read = ParsePredecessor(FormatPredecessor(version));
