--- a/tests/platform/unseen_flows_test.cc
+++ b/tests/platform/unseen_flows_test.cc
@@ -13,10 +13,8 @@
 using segment::test::CallState;
 using segment::test::FakeCaller;
 using soak::GuaranteeChecker;
-using standins::Machine;
 using standins::Site;
 using standins::StoreFault;
-using standins::UpstreamHost;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
