--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -93,6 +93,9 @@
   bool KnowsFormerServices(TimePoint now) const {
     return route_history_.IsComplete(now);
   }
+  /// @return whether no member can be missing from its lists. If not, no flow
+  /// is reset as one that no member owns.
+  bool KnowsMembers(TimePoint now) const { return membership_.IsComplete(now); }
 
  private:
   /// Parts of the member list, after the first, that are queried per second and
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -348,7 +348,7 @@
 /// @return whether this balancer has an entry of every member of the route's
 /// services.
 bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
-  return membership_.IsComplete(now) &&
+  return KnowsMembers(now) &&
          members_.IsStable(route, KnowsFormerServices(now), now);
 }
 
