Lookups with an undecided member share the budget of those without certainty

A balancer limits the parts of a lookup after the first while a member is unresponsive, as no lookup can end with certainty then. A member that answers but is undecided, such as a sidecar that has just started without an upstream, has the same effect and had no limit: each packet of a lost flow went to all members of all services. That grew with the flows lost and with the machines.

Run for this: retry, segment, overload, sidecar_parts and flow_knowledge tests.

--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -392,7 +392,12 @@
   pending.awaiting_ack_from = 0;
   pending.candidates_queried += pending.candidates_covered;
   const auto* route = routes_->Find(pending.segment.flow.service);
-  if (route != nullptr && !MayQueryAllMembers(*route, now)) {
+  // An undecided member leaves no more certainty than an unresponsive one.
+  const bool may_continue =
+      pending.lookup_uncertain
+          ? full_lookup_budget_.TryTake(now)
+          : route == nullptr || MayQueryAllMembers(*route, now);
+  if (!may_continue) {
     ++stats_.shortened_lookups;
     return false;
   }
--- a/tests/segment/retry_test.cc
+++ b/tests/segment/retry_test.cc
@@ -211,4 +211,47 @@
   BOOST_TEST(per_packet <= 2 * kFirstPart);
 }
 
+// A sidecar that has started without an upstream can't know for two reports
+// that nothing is there: meanwhile no lookup can end with certainty either.
+BOOST_AUTO_TEST_CASE(LookupsWithAnUndecidedMemberAreBounded) {
+  constexpr int kSidecars = 163;
+  constexpr int kCallers = 300;
+  Simulation sim;
+  sim.AddBalancer(0);
+  for (int i = 0; i < kSidecars; ++i) sim.AddSidecar(i, "vault", {.slots = 8});
+  sim.SetRoutes(1, "vault");
+  sim.UpdateAllMembers();
+  for (int i = 0; i < kSidecars; ++i) sim.Report(i);
+  for (int i = 0; i < kCallers; ++i) {
+    sim.AddCaller().Open();
+    sim.Run(milliseconds(5));
+  }
+  sim.Run(seconds(1));
+  constexpr int kEmpty = 20;
+  for (int i = 0; i < kSidecars; ++i) {
+    if (i < kEmpty) {
+      sim.upstream(i).Crash();
+      sim.RestartSidecar(i);
+      continue;
+    }
+    sim.RestartUpstream(i);
+    sim.RestartSidecar(i);
+    sim.Report(i);
+  }
+  sim.AddBalancer(0);
+  sim.SetRoutes(1, "vault");
+  sim.UpdateAllMembers();
+  sim.Run(milliseconds(300));
+  const auto packets = sim.balancer(0).stats().packets;
+  const auto datagrams = sim.datagrams();
+  for (int i = 0; i < kCallers; ++i) sim.callers()[i]->Ask();
+  sim.Run(milliseconds(1500));
+  const auto per_packet =
+      static_cast<double>(sim.datagrams() - datagrams) /
+      static_cast<double>(sim.balancer(0).stats().packets - packets);
+  constexpr double kFirstPart = 24;
+  BOOST_TEST(per_packet <= 2 * kFirstPart);
+  BOOST_TEST(sim.wrong_resets() == 0);
+}
+
 }  // namespace cowslip::segment::test
