--- a/packages/membership/src/announcement.cc
+++ b/packages/membership/src/announcement.cc
@@ -17,9 +17,7 @@
 /// Year 2200; clocks count nanoseconds and end some decades later.
 constexpr milliseconds kMaxStartTime{7'258'118'400'000};
 
-/// @return whether a number is not negative and at most `max`, so that it can
-/// be
-///     converted without a loss.
+/// @return whether a number is not negative and at most `max`.
 bool IsUnsignedUpTo(const nlohmann::json& number, std::uint64_t max) {
   return number.is_number_unsigned() && number.get<std::uint64_t>() <= max;
 }
