Process tests begin when every balancer sends new flows to every upstream

Cause: Deployment::Start() waited until the daemons had the ticket in force. A sidecar has it before it has claimed its incarnation and is a member, so a slow one got no flow. With sidecar-11 held back from the store, Start() returned while each of the three balancers knew one of two upstreams.

Change: Start() also waits until each balancer knows all upstreams as active, which a new gauge of the daemon tells: cowslip_control_active_upstreams.

--- a/packages/daemon/include/cowslip/daemon/control_stats.h
+++ b/packages/daemon/include/cowslip/daemon/control_stats.h
@@ -18,6 +18,8 @@
   /// Store distance: hops to a process that reads the store.
   std::atomic<std::uint64_t> depth{0};
   std::atomic<std::uint64_t> items{0};  ///< Announcements and records held.
+  /// Upstreams of the services in force that accept new flows.
+  std::atomic<std::uint64_t> active_upstreams{0};
   /// Whether this process itself watches the store.
   std::atomic<bool> watching{false};
   /// Whether this process reaches the store, directly or through peers.
--- a/packages/daemon/src/control_thread.cc
+++ b/packages/daemon/src/control_thread.cc
@@ -186,7 +186,9 @@
   const auto& node = transport_->node();
   state_.UpdateItems(node.items().items(), std::chrono::system_clock::now(),
                      std::chrono::steady_clock::now());
-  views_.Publish(state_.BuildView(node.tickets().state()));
+  auto view = state_.BuildView(node.tickets().state());
+  stats_.active_upstreams = view->CountActive();
+  views_.Publish(std::move(view));
   stats_.ticket = Raw(node.tickets().number());
 }
 
--- a/packages/membership/include/cowslip/membership/view.h
+++ b/packages/membership/include/cowslip/membership/view.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -44,6 +45,8 @@
   const ServiceView* FindAddress(const Endpoint& address) const;
   /// @return the upstream, searched for in all services, or nullptr.
   const Upstream* FindMember(UpstreamId id) const;
+  /// @return the number of upstreams that accept new flows.
+  std::size_t CountActive() const;
   const std::map<ServiceId, std::shared_ptr<const ServiceView>>& services()
       const {
     return services_;
--- a/packages/membership/src/view.cc
+++ b/packages/membership/src/view.cc
@@ -61,4 +61,14 @@
   return nullptr;
 }
 
+std::size_t View::CountActive() const {
+  std::size_t active = 0;
+  for (const auto& [service_id, service] : services_) {
+    active += static_cast<std::size_t>(
+        std::ranges::count(service->upstreams, UpstreamState::kActive,
+                           [](const auto& upstream) { return upstream.state; }));
+  }
+  return active;
+}
+
 }  // namespace cowslip::membership
--- a/tests/process/control_cost.cc
+++ b/tests/process/control_cost.cc
@@ -1,6 +1,4 @@
 #include <cstdio>
-#include <cstdlib>
-#include <sstream>
 #include <thread>
 
 #include "cowslip/consul.h"
@@ -34,23 +32,12 @@
   RoleCost sidecars;
 };
 
-double Metric(const std::string& page, const std::string& name) {
-  std::istringstream lines(page);
-  std::string line;
-  while (std::getline(lines, line)) {
-    if (line.starts_with(name + " ")) {
-      return std::strtod(line.c_str() + name.size(), nullptr);
-    }
-  }
-  return 0;
-}
-
 void AddMetricsOf(const std::string& server, RoleCost& cost) {
   const auto page = HttpGet(server, "/metrics").value_or("");
-  cost.in += Metric(page, "cowslip_control_in_bytes_total");
-  cost.out += Metric(page, "cowslip_control_out_bytes_total");
-  cost.store_bytes += Metric(page, "cowslip_control_store_bytes_total");
-  cost.store_calls += Metric(page, "cowslip_control_store_calls_total");
+  cost.in += FindMetric(page, "cowslip_control_in_bytes_total");
+  cost.out += FindMetric(page, "cowslip_control_out_bytes_total");
+  cost.store_bytes += FindMetric(page, "cowslip_control_store_bytes_total");
+  cost.store_calls += FindMetric(page, "cowslip_control_store_calls_total");
 }
 
 class Measurement {
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -35,14 +35,16 @@
   WriteFile(directory_.File("ctl.yaml"), CtlSettingsText(site_));
 }
 
-bool Deployment::Start() {
+bool Deployment::StartNetwork() {
   Run("store", {Program("standin-store"), "--listen", site_.Store()});
   Run("fabric", FabricCommand());
-  const bool reachable = Eventually([this] {
+  return Eventually([this] {
     return HttpGet(site_.Store(), "/stats").has_value() &&
            HttpGet(site_.FabricControl(), "/stats").has_value();
   });
-  if (!reachable) return false;
+}
+
+bool Deployment::StartDaemons() {
   std::vector<std::string> daemons;
   for (int id = 1; id <= options_.balancers; ++id) {
     StartBalancer(id);
@@ -56,6 +58,7 @@
   }
   if (SubmitTicket(1, options_.services) != 0) return false;
   if (!WaitForTicket(1, daemons)) return false;
+  if (!WaitForActiveUpstreams()) return false;
   return Eventually([this] {
     for (const auto& service : options_.services) {
       const bool is_coap = service.protocol == "coap";
@@ -221,6 +224,24 @@
   return std::stoi(body.substr(found + kField.size()));
 }
 
+int Deployment::ActiveUpstreamsAt(const std::string& balancer) const {
+  const auto page = HttpGet(HttpOf(balancer), "/metrics").value_or("");
+  return static_cast<int>(
+      FindMetric(page, "cowslip_control_active_upstreams"));
+}
+
+bool Deployment::WaitForActiveUpstreams() const {
+  const int expected = static_cast<int>(options_.services.size()) *
+                       options_.upstreams_per_service;
+  return Eventually([&] {
+    for (int id = 1; id <= options_.balancers; ++id) {
+      const auto balancer = "balancer-" + std::to_string(id);
+      if (ActiveUpstreamsAt(balancer) != expected) return false;
+    }
+    return true;
+  });
+}
+
 bool Deployment::WaitForTicket(int number,
                                const std::vector<std::string>& names) const {
   return Eventually([&] {
--- a/tests/process/deployment.h
+++ b/tests/process/deployment.h
@@ -37,9 +37,14 @@
  public:
   explicit Deployment(const DeploymentOptions& options);
 
-  /// Starts everything, submits ticket 1 and waits until each service answers.
-  /// @return whether it does.
-  bool Start();
+  /// Starts everything, submits ticket 1 and waits until each service answers
+  /// and every balancer sends new flows to every upstream.
+  /// @return whether they do.
+  bool Start() { return StartNetwork() && StartDaemons(); }
+  /// The first part of Start(): the store and the fabric.
+  bool StartNetwork();
+  /// The second part of Start(): all the rest.
+  bool StartDaemons();
 
   // Signals to processes, by name.
   void Kill(const std::string& name);
@@ -83,6 +88,8 @@
   /// answer.
   int TicketAt(const std::string& name) const;
   bool WaitForTicket(int number, const std::vector<std::string>& names) const;
+  /// @return the number of upstreams that a balancer sends new flows to.
+  int ActiveUpstreamsAt(const std::string& balancer) const;
 
   // Callers.
   std::string Vip(int number) const { return site_.Vip(number); }
@@ -101,6 +108,9 @@
   void WriteDaemonSettings(const std::string& name, const std::string& http,
                            const std::string& control,
                            const std::string& section);
+  /// Waits until every balancer sends new flows to every upstream: a sidecar
+  /// has the ticket in force before it is a member.
+  bool WaitForActiveUpstreams() const;
   std::string HttpOf(const std::string& name) const;
   std::vector<std::string> FabricCommand() const;
 
--- a/tests/process/harness_test.cc
+++ b/tests/process/harness_test.cc
@@ -1,5 +1,8 @@
 #define BOOST_TEST_MODULE harness
 #include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <thread>
 
 #include "tests/process/deployment.h"
 
@@ -29,6 +32,26 @@
   BOOST_TEST(observe.exit_code == 0, observe.output);
 }
 
+// A sidecar with the ticket in force that was no member yet made tests begin
+// without its upstream (feed_survival_test, UpstreamDrained).
+BOOST_AUTO_TEST_CASE(StartWaitsForASlowSidecar) {
+  Deployment deployment({});
+  BOOST_REQUIRE(deployment.StartNetwork());
+  BOOST_REQUIRE(deployment.SetStoreAccessDenied("sidecar-11", true));
+  std::thread restore([&deployment] {
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    deployment.SetStoreAccessDenied("sidecar-11", false);
+  });
+  const bool started = deployment.StartDaemons();
+  std::map<std::string, int> active;
+  for (const std::string name : {"balancer-1", "balancer-2", "balancer-3"}) {
+    active[name] = deployment.ActiveUpstreamsAt(name);
+  }
+  restore.join();
+  BOOST_TEST(started);
+  for (const auto& [name, count] : active) BOOST_TEST(count == 2, name);
+}
+
 BOOST_AUTO_TEST_CASE(ProcessesAreKilledAndRestarted) {
   Deployment deployment({});
   BOOST_REQUIRE(deployment.Start());
--- a/tests/process/http.cc
+++ b/tests/process/http.cc
@@ -2,7 +2,9 @@
 
 #include <curl/curl.h>
 
+#include <cstdlib>
 #include <memory>
+#include <sstream>
 
 namespace cowslip::testing {
 namespace {
@@ -41,6 +43,17 @@
   return Perform("GET", server, target);
 }
 
+double FindMetric(const std::string& page, const std::string& name) {
+  std::istringstream lines(page);
+  std::string line;
+  while (std::getline(lines, line)) {
+    if (line.starts_with(name + " ")) {
+      return std::strtod(line.c_str() + name.size(), nullptr);
+    }
+  }
+  return 0;
+}
+
 bool HttpPut(const std::string& server, const std::string& target) {
   return Perform("PUT", server, target).has_value();
 }
