Lookups that end without an owner and without a reset are logged with the reason

Balancers now log event=end_lookup or event=shorten_lookup with the reason: member_undecided, member_unresponsive, member_left, member_joined, members_unknown, no_receipt, no_route; and event=give_up reason=lookup_too_long.

--- a/packages/membership/src/view.cc
+++ b/packages/membership/src/view.cc
@@ -64,9 +64,9 @@
 std::size_t View::CountActive() const {
   std::size_t active = 0;
   for (const auto& [service_id, service] : services_) {
-    active += static_cast<std::size_t>(
-        std::ranges::count(service->upstreams, UpstreamState::kActive,
-                           [](const auto& upstream) { return upstream.state; }));
+    active += static_cast<std::size_t>(std::ranges::count(
+        service->upstreams, UpstreamState::kActive,
+        [](const auto& upstream) { return upstream.state; }));
   }
   return active;
 }
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -145,7 +146,7 @@
   /// a SYN, std::nullopt if its route has none.
   std::optional<std::chrono::milliseconds> TimeLeft(
       const PendingPacket& pending, TimePoint now) const;
-  bool KnowsAllMembers(const Route& route, TimePoint now) const;
+  std::string_view MembersUncertainty(const Route& route, TimePoint now) const;
   void LogDecision(std::string_view action, std::string_view reason,
                    const FlowKey& flow, InstanceAddress instance = 0,
                    std::uint32_t place = 0, std::uint32_t wait_us = 0);
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 
 #include "cowslip/base.h"
@@ -36,8 +37,9 @@
   std::size_t candidates_covered = 0;
   /// CandidateSelector::removals() when the lookup began.
   std::uint64_t removals_before = 0;
-  /// Some member may own the flow but could not determine whether it does.
-  bool lookup_uncertain = false;
+  /// Why some member that was not heard may own the flow, as logged; empty if
+  /// the lookup is certain so far.
+  std::string_view uncertainty;
   /// Every member has reported once that it doesn't own the flow.
   bool not_found_once = false;
   /// No member owns the flow; it is reset as soon as an upstream has a free
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -82,8 +82,7 @@
   }
   /// @return whether it is not known yet if there is an upstream.
   bool awaits_upstream() const {
-    return upstream_state_.state() == Lifecycle::kUnknown &&
-           !has_no_upstream();
+    return upstream_state_.state() == Lifecycle::kUnknown && !has_no_upstream();
   }
   /// @return whether the upstream may own flows that this process hasn't seen.
   bool MayHaveUnseenFlows(TimePoint now) const {
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -188,12 +188,12 @@
       pending.removals_before = members_.removals();
     } else if (pending.removals_before != members_.removals()) {
       // The rest of the list may begin after members that were not queried.
-      pending.lookup_uncertain = true;
+      pending.uncertainty = "member_left";
     }
     pending.candidates_covered =
         members_.ListForExistingFlow(*route, hash, pending.candidates_queried,
                                      KnowsFormerServices(now), frame);
-    pending.lookup_uncertain |= frame.inconclusive;
+    if (frame.inconclusive) pending.uncertainty = "member_unresponsive";
   }
   pending.next_hop = segment.is_syn() ? pending.next_hop : 0;
   return frame.hop_count > 0;
@@ -345,11 +345,15 @@
   pending.next_hop = static_cast<std::uint8_t>(hop - frame.hops.begin() + 1);
 }
 
-/// @return whether this balancer has an entry of every member of the route's
-/// services.
-bool Balancer::KnowsAllMembers(const Route& route, TimePoint now) const {
-  return KnowsMembers(now) &&
-         members_.IsStable(route, KnowsFormerServices(now), now);
+/// @return why a member that may own a flow of the route may be missing from
+/// the lists; empty if none can be.
+std::string_view Balancer::MembersUncertainty(const Route& route,
+                                              TimePoint now) const {
+  if (!KnowsMembers(now)) return "members_unknown";
+  if (!members_.IsStable(route, KnowsFormerServices(now), now)) {
+    return "member_joined";
+  }
+  return {};
 }
 
 /// @return whether no other transmission of the SYN may still reach an
@@ -382,7 +386,9 @@
   hints_.Erase(ack.flow, HashFlow(ack.flow));
   if (found == pending_.end() || found->second.lost) return;
   auto& pending = found->second;
-  if (ack.verdict == AckStatus::kInconclusive) pending.lookup_uncertain = true;
+  if (ack.verdict == AckStatus::kInconclusive) {
+    pending.uncertainty = "member_undecided";
+  }
   pending.resends = 0;
   if (!ContinueLookup(pending, now, out)) pending_.erase(found);
 }
@@ -394,21 +400,28 @@
   const auto* route = routes_->Find(pending.segment.flow.service);
   // An undecided member leaves no more certainty than an unresponsive one.
   const bool may_continue =
-      pending.lookup_uncertain
+      !pending.uncertainty.empty()
           ? full_lookup_budget_.TryTake(now)
           : route == nullptr || MayQueryAllMembers(*route, now);
   if (!may_continue) {
     ++stats_.shortened_lookups;
+    LogDecision("shorten_lookup",
+                pending.uncertainty.empty() ? "member_unresponsive"
+                                            : pending.uncertainty,
+                pending.segment.flow);
     return false;
   }
   if (BuildCandidates(pending, now)) {
     SendToCandidates(pending, now, out);
     return true;
   }
-  const bool certain = !pending.lookup_uncertain && route != nullptr &&
-                       KnowsAllMembers(*route, now);
-  if (!certain) {
+  if (pending.uncertainty.empty()) {
+    pending.uncertainty =
+        route == nullptr ? "no_route" : MembersUncertainty(*route, now);
+  }
+  if (!pending.uncertainty.empty()) {
     ++stats_.uncertain_lookups;
+    LogDecision("end_lookup", pending.uncertainty, pending.segment.flow);
     return false;
   }
   if (!pending.not_found_once) {
@@ -488,6 +501,7 @@
 bool Balancer::RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out) {
   if (now - pending.arrival > kLookupLifetime) {
     ++stats_.given_up;
+    LogDecision("give_up", "lookup_too_long", pending.segment.flow);
     return false;
   }
   if (!MayResend(pending, now)) return true;
@@ -501,7 +515,7 @@
     pending.candidates_queried = kAllMembersQueried;
     return true;
   }
-  pending.lookup_uncertain = true;
+  pending.uncertainty = "no_receipt";
   if (pending.next_hop < pending.frame.hop_count) {
     SendToCandidates(pending, now, out);
     return true;
--- a/tests/platform/unseen_flows_test.cc
+++ b/tests/platform/unseen_flows_test.cc
@@ -1,8 +1,8 @@
 // Tests with real processes that no open flow is reset by an instance that has
 // missed something: regression tests of the faults that a review found.
 #define BOOST_TEST_MODULE platform_unseen_flows
-#include <boost/test/unit_test.hpp>
 #include <algorithm>
+#include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <iterator>
 
@@ -132,8 +132,8 @@
   sidecar.RestartIfEnded();
   RunFor(site->loop(), milliseconds(300));
   sidecar.Signal(SIGTERM);
-  BOOST_TEST(RunUntil(site->loop(), seconds(3),
-                      [&] { return !sidecar.IsRunning(); }));
+  BOOST_TEST(
+      RunUntil(site->loop(), seconds(3), [&] { return !sidecar.IsRunning(); }));
   RunFor(site->loop(), seconds(3));
   for (auto* caller : callers) {
     caller->Ask();
--- a/tests/process/deployment.cc
+++ b/tests/process/deployment.cc
@@ -226,8 +226,7 @@
 
 int Deployment::ActiveUpstreamsAt(const std::string& balancer) const {
   const auto page = HttpGet(HttpOf(balancer), "/metrics").value_or("");
-  return static_cast<int>(
-      FindMetric(page, "cowslip_control_active_upstreams"));
+  return static_cast<int>(FindMetric(page, "cowslip_control_active_upstreams"));
 }
 
 bool Deployment::WaitForActiveUpstreams() const {
