An upstream whose first report was refused or is its first one counts as new

Cause: a few sidecars stayed undecided for 70 s. Balancers that have just started include all services in a lookup, and upstreams of other services are not queried, so one such sidecar made every lookup of the other service uncertain.

Change: up to two calls of an upstream that is younger than 100 ms may have been refused. An upstream is new, too, if its first report arrives before a second one could be due after an acknowledged one (65 % of the report interval).

Tests: UpstreamWhoseFirstReportsWereRefusedOwnsNoUnseenFlows and UpstreamOwnsNoUnseenFlowsBeforeItsFirstReport; the latter failed 6 checks without the change. OlderUpstreamMayOwnUnseenFlows named reports with sequence 1 from upstreams of 101 and 700 ms as no proof; no earlier process can have received a report before the first one, so its reports are now the second and third, which still prove nothing at any age, and DelayedFirstReportProvesNothing keeps the first one for every age at which it may be late.

--- a/packages/segment/include/cowslip/segment/flow_knowledge.h
+++ b/packages/segment/include/cowslip/segment/flow_knowledge.h
@@ -87,9 +87,20 @@
 
  private:
   /// @return whether the upstream's process began after earlier ones of this
-  ///     sidecar had ended. Its sequence number limits how long it can have
-  ///     run, in case a clock was set.
-  bool IsYounger(const UpstreamReport& report, TimePoint now) const;
+  ///     sidecar had ended.
+  bool IsYounger(const UpstreamReport& report) const;
+  /// @return whether the upstream's process is younger than this, and did not
+  ///     start in the future. If younger than MinReportGap(), no earlier
+  ///     process has acknowledged a report of it, and so placed a flow there.
+  bool AgeIsBelow(std::chrono::milliseconds limit, const UpstreamReport& report,
+                  TimePoint now) const;
+  /// @return whether the upstream can have sent so many reports since this
+  ///     process started. It limits how long the upstream can have run, in case
+  ///     a clock was set.
+  bool SequenceIsPlausible(const UpstreamReport& report, TimePoint now) const;
+  /// @return the time that passes at least after an acknowledged report before
+  ///     the next one is sent.
+  std::chrono::milliseconds MinReportGap() const;
 
   ProcessStart start_;
   KnowledgeWindow window_;
@@ -97,7 +108,10 @@
   /// Start of the upstream's process that the last report was from.
   std::chrono::milliseconds upstream_started_at_{};
   bool has_report_ = false;
-  bool upstream_is_younger_ = false;
+  /// No earlier process can have placed a flow at the upstream.
+  bool upstream_is_new_ = false;
+  /// Reports that may have been sent before this process accepted any.
+  std::uint64_t refused_reports_ = 0;
 };
 
 /// Decides whether a balancer knows all services that a route led to while its
--- a/tests/segment/flow_knowledge_test.cc
+++ b/tests/segment/flow_knowledge_test.cc
@@ -81,6 +81,46 @@
   for (const milliseconds age : {milliseconds(101), milliseconds(700),
                                  milliseconds(1500), milliseconds(30'000)}) {
     auto unseen = MakeUnseenFlows();
+    unseen.OnReport(MakeReport(-age, 2), After(milliseconds(10)));
+    BOOST_TEST(unseen.MayExist(After(seconds(1))));
+    unseen.OnReport(MakeReport(-age, 3), After(seconds(2)));
+    BOOST_TEST(unseen.MayExist(After(seconds(2))));
+  }
+}
+
+// A sidecar that starts later than its upstream, as after a power loss.
+BOOST_AUTO_TEST_CASE(UpstreamOwnsNoUnseenFlowsBeforeItsFirstReport) {
+  for (const milliseconds age :
+       {milliseconds(101), milliseconds(200), milliseconds(700)}) {
+    auto unseen = MakeUnseenFlows();
+    unseen.OnReport(MakeReport(-age, 1), After(milliseconds(10)));
+    BOOST_TEST(!unseen.MayExist(After(milliseconds(10))));
+    unseen.OnReport(MakeReport(-age, 2), After(milliseconds(1210)));
+    BOOST_TEST(!unseen.MayExist(After(milliseconds(1210))));
+  }
+}
+
+// After a power loss, the first call of a few upstreams was refused because
+// their sidecar did not listen yet; no lost flow was reset for 70 s.
+BOOST_AUTO_TEST_CASE(UpstreamWhoseFirstReportsWereRefusedOwnsNoUnseenFlows) {
+  auto unseen = MakeUnseenFlows();
+  unseen.OnReport(MakeReport(milliseconds(-35), 2), After(milliseconds(3)));
+  BOOST_TEST(!unseen.MayExist(After(milliseconds(3))));
+  unseen.OnReport(MakeReport(milliseconds(-35), 3), After(milliseconds(1203)));
+  BOOST_TEST(!unseen.MayExist(After(milliseconds(1203))));
+}
+
+BOOST_AUTO_TEST_CASE(ManyReportsOfAnUpstreamThatSeemsNewProveThatItIsOlder) {
+  auto unseen = MakeUnseenFlows();
+  unseen.OnReport(MakeReport(milliseconds(-35), 4), After(milliseconds(3)));
+  BOOST_TEST(unseen.MayExist(After(milliseconds(3))));
+}
+
+// An earlier process may have received a later report meanwhile.
+BOOST_AUTO_TEST_CASE(DelayedFirstReportProvesNothing) {
+  for (const milliseconds age :
+       {milliseconds(771), milliseconds(1500), milliseconds(30'000)}) {
+    auto unseen = MakeUnseenFlows();
     unseen.OnReport(MakeReport(-age, 1), After(milliseconds(10)));
     BOOST_TEST(unseen.MayExist(After(seconds(1))));
   }
