An upstream that has not reported before its early first report counts as new

Cause: some sidecars start more than 100 ms after their upstreams, so that the upstreams passed for older than an earlier process for 70 s.

Change: if the first report comes before a second one could be due (65 % of the report interval), no earlier process has acknowledged one, so none has placed a flow there. It counts only once a second report of the same upstream process has arrived: the first may be late and its upstream gone, while another one holds flows. Lookups stay uncertain for one interval instead of 70 s.

Tests: UpstreamOwnsNoUnseenFlowsBeforeItsFirstReport (failed before: 6 checks), EarlyReportOfAnUpstreamThatHasGoneProvesNothing, LateFirstReportProvesNothing.

--- a/packages/segment/include/cowslip/segment/flow_knowledge.h
+++ b/packages/segment/include/cowslip/segment/flow_knowledge.h
@@ -89,14 +89,19 @@
   /// @return whether the upstream's process began after earlier ones of this
   ///     sidecar had ended.
   bool IsYounger(const UpstreamReport& report) const;
-  /// @return whether the upstream is so young that this process may not have
-  ///     accepted connections yet when it sent its first reports.
-  bool MayHaveBeenRefused(const UpstreamReport& report, TimePoint now) const;
+  /// @return whether the upstream's process is younger than this and did not
+  ///     start in the future.
+  bool AgeIsBelow(Duration limit, const UpstreamReport& report,
+                  TimePoint now) const;
   /// @return whether the upstream can have sent so many reports since this
   ///     process started. It limits how long the upstream can have run, in case
   ///     a clock was set.
   bool SequenceIsPlausible(const UpstreamReport& report, TimePoint now) const;
 
+  /// @return the time that passes at least after an acknowledged report before
+  ///     the next one is sent.
+  Duration MinReportGap() const;
+
   ProcessStart start_;
   KnowledgeWindow window_;
   std::chrono::milliseconds report_interval_{1000};
@@ -104,6 +109,10 @@
   std::chrono::milliseconds upstream_started_at_{};
   bool has_report_ = false;
   bool upstream_is_younger_ = false;
+  /// The first report came before a second one could be due, so no earlier
+  /// process acknowledged one. It proves something only once another report
+  /// shows that it was not that of an upstream that has gone.
+  bool first_report_was_early_ = false;
   /// Reports that may have been sent before this process accepted any.
   std::uint64_t refused_reports_ = 0;
 };
--- a/packages/segment/src/flow_knowledge.cc
+++ b/packages/segment/src/flow_knowledge.cc
@@ -35,22 +35,22 @@
   return report.started_at >= start_.time_of_day - kMinRestartDelay;
 }
 
-bool UnseenFlows::MayHaveBeenRefused(const UpstreamReport& report,
-                                     TimePoint now) const {
-  const auto time_of_day =
-      start_.time_of_day +
-      std::chrono::duration_cast<std::chrono::milliseconds>(now -
-                                                            start_.steady);
+Duration UnseenFlows::MinReportGap() const {
+  return report_interval_ * kMinReportGapPercent / 100;
+}
+
+bool UnseenFlows::AgeIsBelow(Duration limit, const UpstreamReport& report,
+                             TimePoint now) const {
+  const Duration time_of_day = start_.time_of_day + (now - start_.steady);
   return report.started_at <= time_of_day &&
-         report.started_at > time_of_day - kMaxRefusalAge;
+         report.started_at > time_of_day - limit;
 }
 
 bool UnseenFlows::SequenceIsPlausible(const UpstreamReport& report,
                                       TimePoint now) const {
-  const Duration min_gap = report_interval_ * kMinReportGapPercent / 100;
   const auto possible_reports =
       1 + refused_reports_ +
-      static_cast<std::uint64_t>((now - start_.steady) / min_gap);
+      static_cast<std::uint64_t>((now - start_.steady) / MinReportGap());
   return report.sequence <= possible_reports;
 }
 
@@ -59,9 +59,15 @@
       has_report_ && report.started_at == upstream_started_at_;
   if (!same_process) {
     upstream_is_younger_ = IsYounger(report);
-    refused_reports_ = MayHaveBeenRefused(report, now) ? kMaxRefusedReports : 0;
+    first_report_was_early_ = AgeIsBelow(MinReportGap(), report, now);
+    refused_reports_ =
+        AgeIsBelow(kMaxRefusalAge, report, now) ? kMaxRefusedReports : 0;
+  } else if (first_report_was_early_) {
+    upstream_is_younger_ = true;
   }
-  upstream_is_younger_ &= SequenceIsPlausible(report, now);
+  const bool plausible = SequenceIsPlausible(report, now);
+  upstream_is_younger_ &= plausible;
+  first_report_was_early_ &= plausible;
   upstream_started_at_ = report.started_at;
   has_report_ = true;
 }
@@ -69,6 +75,7 @@
 void UnseenFlows::OnRecordLost(TimePoint now) {
   window_.OpenGap(now);
   upstream_is_younger_ = false;
+  first_report_was_early_ = false;
 }
 
 bool UnseenFlows::MayExist(TimePoint now) const {
--- a/tests/segment/flow_knowledge_test.cc
+++ b/tests/segment/flow_knowledge_test.cc
@@ -86,6 +86,43 @@
   }
 }
 
+// After a power loss, some sidecars started more than 100 ms after their
+// upstreams; no lost flow was reset for 70 s.
+BOOST_AUTO_TEST_CASE(UpstreamOwnsNoUnseenFlowsBeforeItsFirstReport) {
+  for (const milliseconds age :
+       {milliseconds(101), milliseconds(300), milliseconds(760)}) {
+    auto unseen = MakeUnseenFlows();
+    unseen.OnReport(MakeReport(-age, 1), After(milliseconds(10)));
+    BOOST_TEST(unseen.MayExist(After(milliseconds(10))));
+    unseen.OnReport(MakeReport(-age, 2), After(milliseconds(1210)));
+    BOOST_TEST(!unseen.MayExist(After(milliseconds(1210))));
+    unseen.OnReport(MakeReport(-age, 3), After(milliseconds(2410)));
+    BOOST_TEST(!unseen.MayExist(After(milliseconds(2410))));
+  }
+}
+
+// The upstream that sent it has gone, and an earlier process may have served
+// the one after it.
+BOOST_AUTO_TEST_CASE(EarlyReportOfAnUpstreamThatHasGoneProvesNothing) {
+  auto unseen = MakeUnseenFlows();
+  unseen.OnReport(MakeReport(milliseconds(-700), 1), After(milliseconds(10)));
+  unseen.OnReport(MakeReport(milliseconds(-400), 2), After(milliseconds(900)));
+  BOOST_TEST(unseen.MayExist(After(seconds(1))));
+  unseen.OnReport(MakeReport(milliseconds(-400), 3), After(milliseconds(2100)));
+  BOOST_TEST(unseen.MayExist(After(seconds(3))));
+}
+
+// An earlier process may have acknowledged a later report meanwhile.
+BOOST_AUTO_TEST_CASE(LateFirstReportProvesNothing) {
+  for (const milliseconds age :
+       {milliseconds(770), milliseconds(1500), milliseconds(30'000)}) {
+    auto unseen = MakeUnseenFlows();
+    unseen.OnReport(MakeReport(-age, 1), After(milliseconds(10)));
+    unseen.OnReport(MakeReport(-age, 2), After(milliseconds(1210)));
+    BOOST_TEST(unseen.MayExist(After(seconds(2))));
+  }
+}
+
 // After a power loss, the first call of a few upstreams was refused because
 // their sidecar did not listen yet; no lost flow was reset for 70 s.
 BOOST_AUTO_TEST_CASE(UpstreamWhoseFirstReportsWereRefusedOwnsNoUnseenFlows) {
