Tests: one fixture for running sites, one set-up of a second service

process_test and unseen_flows_test started a site and reported its violations with the same lines: SiteFixture. Four cases of segment_test added a service without a route alike: AddUnroutedService. Two cases of retry_test measured datagrams per packet alike: AskAllAndCountDatagrams. A comment of adapter_test is back at its case, and two comments of flow_knowledge_test no longer claim that the causes they name kept all lost flows from being reset, which is not shown.

--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -213,7 +213,6 @@
   }
 }
 
-// Parsers must not crash or read out of bounds on randomly changed bytes.
 BOOST_AUTO_TEST_CASE(DeeplyNestedInputIsRejected) {
   const std::string brackets(100'000, '[');
   const std::string arrays = std::string(3000, '[') + std::string(3000, ']');
@@ -236,6 +235,7 @@
   }
 }
 
+// Parsers must not crash or read out of bounds on randomly changed bytes.
 BOOST_AUTO_TEST_CASE(RandomBytesCauseNoCrash) {
   std::mt19937_64 random(7);
   for (int i = 0; i < 20000; ++i) {
--- a/tests/platform/process_test.cc
+++ b/tests/platform/process_test.cc
@@ -4,28 +4,23 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 
-#include "platform/soak/guarantee_checker.h"
 #include "platform/soak/load_generator.h"
 #include "tests/platform/loop_runner.h"
+#include "tests/platform/site_fixture.h"
 #include "tests/process/child_process.h"
 #include "tests/process/files.h"
 
 namespace cowslip::platform_adapter::test {
 namespace {
 
-using soak::GuaranteeChecker;
 using soak::LoadGenerator;
 using standins::Site;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// A running site under load.
-struct Fixture {
-  explicit Fixture(int number) {
-    LastReason<AdapterError> reason;
-    site = Site::Start(number, checks.Events(), reason);
-    BOOST_REQUIRE_MESSAGE(site != nullptr, reason.Message());
-    checks.Attach(*site);
+struct Fixture : SiteFixture {
+  explicit Fixture(int number) : SiteFixture(number) {
     std::map<Endpoint, std::string> routes;
     for (int i = 0; i < 3; ++i) {
       routes[Site::RouteAddress(i)] = Site::ServiceName(i == 0 ? 0 : 1);
@@ -36,12 +31,7 @@
     load->Start();
     RunFor(site->loop(), seconds(1));
   }
-  ~Fixture() {
-    for (const auto& violation : checks.violations()) BOOST_ERROR(violation);
-  }
 
-  GuaranteeChecker checks;
-  std::unique_ptr<Site> site;
   std::unique_ptr<LoadGenerator> load;
 };
 
--- a/tests/platform/unseen_flows_test.cc
+++ b/tests/platform/unseen_flows_test.cc
@@ -6,15 +6,14 @@
 #include <csignal>
 #include <iterator>
 
-#include "platform/soak/guarantee_checker.h"
 #include "tests/platform/loop_runner.h"
+#include "tests/platform/site_fixture.h"
 
 namespace cowslip::platform_adapter::test {
 namespace {
 
 using segment::test::CallState;
 using segment::test::FakeCaller;
-using soak::GuaranteeChecker;
 using standins::Site;
 using standins::StoreFault;
 using std::chrono::milliseconds;
@@ -24,18 +23,11 @@
 constexpr milliseconds kRestartDelay{500};
 
 /// A running site with one service behind each of two routes.
-struct Fixture {
-  explicit Fixture(int number) {
-    LastReason<AdapterError> reason;
-    site = Site::Start(number, checks.Events(), reason);
-    BOOST_REQUIRE_MESSAGE(site != nullptr, reason.Message());
-    checks.Attach(*site);
+struct Fixture : SiteFixture {
+  explicit Fixture(int number) : SiteFixture(number) {
     Configure(0, 1);
     RunFor(site->loop(), seconds(2));
   }
-  ~Fixture() {
-    for (const auto& violation : checks.violations()) BOOST_ERROR(violation);
-  }
 
   /// Writes a configuration. @param services behind the two routes.
   void Configure(int first, int second) {
@@ -80,8 +72,6 @@
     BOOST_TEST(answered == static_cast<int>(callers.size()));
   }
 
-  GuaranteeChecker checks;
-  std::unique_ptr<Site> site;
   std::vector<FakeCaller*> callers;
 };
 
--- a/tests/segment/flow_knowledge_test.cc
+++ b/tests/segment/flow_knowledge_test.cc
@@ -86,8 +86,8 @@
   }
 }
 
-// After a power loss, some sidecars started more than 100 ms after their
-// upstreams; no lost flow was reset for 70 s.
+// A sidecar that starts more than 100 ms after its upstream, as after a power
+// loss.
 BOOST_AUTO_TEST_CASE(UpstreamOwnsNoUnseenFlowsBeforeItsFirstReport) {
   for (const milliseconds age :
        {milliseconds(101), milliseconds(300), milliseconds(760)}) {
@@ -123,8 +123,8 @@
   }
 }
 
-// After a power loss, the first call of a few upstreams was refused because
-// their sidecar did not listen yet; no lost flow was reset for 70 s.
+// After a power loss, the first call of an upstream was refused because its
+// sidecar did not listen yet, and its flows stayed unknown for 70 s.
 BOOST_AUTO_TEST_CASE(UpstreamWhoseFirstReportsWereRefusedOwnsNoUnseenFlows) {
   auto unseen = MakeUnseenFlows();
   unseen.OnReport(MakeReport(milliseconds(-35), 2), After(milliseconds(3)));
--- a/tests/segment/retry_test.cc
+++ b/tests/segment/retry_test.cc
@@ -115,6 +115,17 @@
     {91, 204, 20, seconds(4), true, 0.01, 9},
 };
 
+/// Lets all callers ask. @return the datagrams for each packet that balancer 0
+/// receives meanwhile.
+double AskAllAndCountDatagrams(Simulation& sim, milliseconds time) {
+  const auto packets = sim.balancer(0).stats().packets;
+  const auto datagrams = sim.datagrams();
+  for (auto& caller : sim.callers()) caller->Ask();
+  sim.Run(time);
+  return static_cast<double>(sim.datagrams() - datagrams) /
+         static_cast<double>(sim.balancer(0).stats().packets - packets);
+}
+
 }  // namespace
 
 BOOST_DATA_TEST_CASE(ServiceReturnsWithinOneSecond, kFailures, failure) {
@@ -199,13 +210,7 @@
   // The first lookups show that the sidecar is unresponsive.
   for (int i = 0; i < kCallers; i += 50) sim.callers()[i]->Ask();
   sim.Run(seconds(2));
-  const auto packets = sim.balancer(0).stats().packets;
-  const auto datagrams = sim.datagrams();
-  for (int i = 0; i < kCallers; ++i) sim.callers()[i]->Ask();
-  sim.Run(seconds(4));
-  const auto per_packet =
-      static_cast<double>(sim.datagrams() - datagrams) /
-      static_cast<double>(sim.balancer(0).stats().packets - packets);
+  const auto per_packet = AskAllAndCountDatagrams(sim, seconds(4));
   // The first part of the list: up to 12 frames, each with an acknowledgement.
   constexpr double kFirstPart = 24;
   BOOST_TEST(per_packet <= 2 * kFirstPart);
@@ -242,13 +247,7 @@
   sim.SetRoutes(1, "vault");
   sim.UpdateAllMembers();
   sim.Run(milliseconds(300));
-  const auto packets = sim.balancer(0).stats().packets;
-  const auto datagrams = sim.datagrams();
-  for (int i = 0; i < kCallers; ++i) sim.callers()[i]->Ask();
-  sim.Run(milliseconds(1500));
-  const auto per_packet =
-      static_cast<double>(sim.datagrams() - datagrams) /
-      static_cast<double>(sim.balancer(0).stats().packets - packets);
+  const auto per_packet = AskAllAndCountDatagrams(sim, milliseconds(1500));
   constexpr double kFirstPart = 24;
   BOOST_TEST(per_packet <= 2 * kFirstPart);
   BOOST_TEST(sim.wrong_resets() == 0);
--- a/tests/segment/segment_test.cc
+++ b/tests/segment/segment_test.cc
@@ -23,6 +23,13 @@
   for (int i = 0; i < sidecars; ++i) sim.Report(i);
 }
 
+/// Adds sidecars 3 to 5 of a service that no route leads to.
+void AddUnroutedService(Simulation& sim) {
+  for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
+  sim.UpdateAllMembers();
+  for (int i = 3; i < 6; ++i) sim.Report(i);
+}
+
 int Count(Simulation& sim, CallState state) {
   int count = 0;
   for (const auto& caller : sim.callers()) count += caller->state() == state;
@@ -570,9 +577,7 @@
   Simulation sim;
   sim.AddBalancer(0);
   AddService(sim, 3);
-  for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
-  sim.UpdateAllMembers();
-  for (int i = 3; i < 6; ++i) sim.Report(i);
+  AddUnroutedService(sim);
   OpenCallers(sim, 20, milliseconds(10));
   sim.Run(kTarget);
   BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
@@ -596,9 +601,7 @@
     sim.AddBalancer(0);
     sim.AddBalancer(1);
     AddService(sim, 3);
-    for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
-    sim.UpdateAllMembers();
-    for (int i = 3; i < 6; ++i) sim.Report(i);
+    AddUnroutedService(sim);
     sim.Run(kMaxFlowAge + seconds(5));
     if (suspended) sim.Suspend(1);
     sim.SetRoutesOf(0, Simulation::MakeRoutes(2, "custody"));
@@ -621,9 +624,7 @@
   sim.AddBalancer(0);
   sim.AddBalancer(1);
   AddService(sim, 3);
-  for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
-  sim.UpdateAllMembers();
-  for (int i = 3; i < 6; ++i) sim.Report(i);
+  AddUnroutedService(sim);
   sim.Run(kMaxFlowAge + seconds(5));
   BOOST_TEST(sim.balancer(1).KnowsFormerServices(sim.now()));
   sim.SetRoutesOf(0, Simulation::MakeRoutes(2, "custody"));
@@ -641,9 +642,7 @@
   Simulation sim;
   sim.AddBalancer(0);
   AddService(sim, 3);
-  for (int i = 3; i < 6; ++i) sim.AddSidecar(i, "custody");
-  sim.UpdateAllMembers();
-  for (int i = 3; i < 6; ++i) sim.Report(i);
+  AddUnroutedService(sim);
   OpenCallers(sim, 20, milliseconds(10));
   sim.Run(kTarget);
   BOOST_TEST(Count(sim, CallState::kAnswered) == 20);
