Frames carry the class of a request, entries the data centre of an instance

Cause: routes have a priority and a time limit, and instances a data centre, but no decision could use them: neither reached a sidecar or another balancer.

Change: a frame may be preceded by the class of its request (8 bytes, a datagram kind of its own), sent only if all members of all services understand it, as their membership entries tell. Entries have the name of the data centre. Both are optional on the wire.

--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -16,7 +16,11 @@
   std::uint64_t incarnation = 0;  ///< Increases with each start of the process.
   /// Increases with each change during one incarnation.
   std::uint32_t sequence = 0;
-  std::string service;  ///< Name of the service that a sidecar belongs to.
+  std::string service;      ///< Name of the service that a sidecar belongs to.
+  std::string data_center;  ///< Empty if it is not known.
+  /// Newest form of frames that a sidecar understands; 0 in builds before the
+  /// request class was introduced.
+  std::uint8_t frame_version = 0;
   /// Incarnation of the sidecar's upstream, 0 if it is not known.
   std::uint64_t upstream = 0;
   /// Lease of the entry in the store, 0 if it is not known.
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -11,8 +11,13 @@
 
 /// Eight bytes long, so that the message after it is aligned.
 constexpr std::array<std::uint8_t, 8> kPrefix{'C', 'W', 'G', '1', 0, 0, 0, 0};
-/// Longest valid service name, in bytes. Real ones are much shorter.
-constexpr std::size_t kMaxServiceName = 200;
+/// Longest valid name of a service or data centre, in bytes. Real ones are much
+/// shorter.
+constexpr std::size_t kMaxName = 200;
+
+bool IsValidName(const flatbuffers::String* name) {
+  return name == nullptr || name->size() <= kMaxName;
+}
 
 PeerEntry FromWire(const wire::Entry& raw) {
   PeerEntry entry;
@@ -21,6 +26,10 @@
   entry.incarnation = raw.incarnation();
   entry.sequence = raw.sequence();
   if (raw.service() != nullptr) entry.service = raw.service()->str();
+  if (raw.data_center() != nullptr) {
+    entry.data_center = raw.data_center()->str();
+  }
+  entry.frame_version = raw.frame_version();
   entry.accepts = raw.open();
   entry.left = raw.left();
   entry.no_upstream = raw.vacant();
@@ -69,7 +78,9 @@
     entries.push_back(wire::CreateEntryDirect(
         builder, entry.address, entry.balancer, entry.incarnation,
         entry.sequence, entry.service.c_str(), entry.accepts, entry.left,
-        entry.upstream, entry.lease, entry.no_upstream, entry.lease_era));
+        entry.upstream, entry.lease, entry.no_upstream, entry.lease_era,
+        entry.data_center.empty() ? nullptr : entry.data_center.c_str(),
+        entry.frame_version));
   }
   std::vector<std::uint16_t> runs;
   std::vector<std::uint32_t> digests;
@@ -123,8 +134,8 @@
   }
   if (raw->entries() != nullptr) {
     for (const auto* entry : *raw->entries()) {
-      if (entry->service() != nullptr &&
-          entry->service()->size() > kMaxServiceName) {
+      if (!IsValidName(entry->service()) ||
+          !IsValidName(entry->data_center())) {
         return std::nullopt;
       }
       message.entries.push_back(FromWire(*entry));
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -142,10 +142,6 @@
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
   void OnNotFound(const Ack& ack, TimePoint now, Outbox& out);
   static bool IsOnlyTransmission(const PendingPacket& syn);
-  /// @return the time left until the latency target of the request that follows
-  /// a SYN, std::nullopt if its route has none.
-  std::optional<std::chrono::milliseconds> TimeLeft(
-      const PendingPacket& pending, TimePoint now) const;
   std::string_view MembersUncertainty(const Route& route, TimePoint now) const;
   void LogDecision(std::string_view action, std::string_view reason,
                    const FlowKey& flow, InstanceAddress instance = 0,
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -32,6 +32,8 @@
   void ReplaceMembers(ServiceTag tag, const std::vector<Member>& members,
                       bool joined_now, TimePoint now);
   bool HasMembers() const;
+  /// @return whether all members understand frames with a request class.
+  bool AllReadRequestClass() const;
   /// @return how often a member was removed. Positions in the ranking that were
   /// determined before a removal mean other members after it.
   std::uint64_t removals() const { return removals_; }
@@ -74,6 +76,7 @@
     /// Members in the form that flow::Ranking takes.
     std::vector<Upstream> upstreams;
     TimePoint last_join{};  ///< When a member last joined.
+    bool all_read_request_class = true;
   };
 
   void AppendCandidates(ServiceTag tag, std::uint64_t hash);
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -21,6 +21,21 @@
 /// of it.
 inline constexpr std::size_t kMaxHops = 12;
 
+/// Newest form of SegmentFrame that this build understands: 1 has a request
+/// class.
+inline constexpr std::uint8_t kFrameVersion = 1;
+
+/// What the route of a caller's packet says of the request that it belongs to.
+struct RequestClass {
+  static constexpr std::uint8_t kUnknownPriority = 255;
+
+  std::uint8_t priority = kUnknownPriority;  ///< 0 is the most urgent one.
+  /// Time left until the route's time limit; std::nullopt if it has none.
+  std::optional<std::chrono::milliseconds> time_limit;
+
+  bool operator==(const RequestClass&) const = default;
+};
+
 /// A caller's packet with the ordered list of candidate sidecars (hops) that it
 /// is forwarded along.
 struct SegmentFrame {
@@ -47,6 +62,9 @@
   /// Time left until the latency target of the request that follows a SYN;
   /// std::nullopt if the route has none.
   std::optional<std::chrono::milliseconds> time_left;
+  /// Class of the request; std::nullopt if it is not known, or if some hop does
+  /// not understand frames that have one.
+  std::optional<RequestClass> request;
   /// Least expected wait among the visited sidecars, and the index of that hop.
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
@@ -89,7 +107,12 @@
 };
 
 /// Kinds of datagrams between balancers and sidecars.
-enum class FrameKind : std::uint8_t { kSegment = 1, kReceipt = 2, kProbe = 3 };
+enum class FrameKind : std::uint8_t {
+  kSegment = 1,
+  kReceipt = 2,
+  kProbe = 3,
+  kClassifiedSegment = 4,  ///< A segment frame with a request class.
+};
 
 /// @return the kind of a datagram, std::nullopt if it is not one of these.
 std::optional<FrameKind> KindOf(ByteView datagram);
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cowslip/base.h"
+#include "cowslip/segment/frame.h"
 #include "cowslip/segment/segment.h"
 
 namespace cowslip::segment {
@@ -26,6 +27,11 @@
   /// Target for the time from a caller's first packet to the answer;
   /// std::nullopt if there is none.
   std::optional<std::chrono::milliseconds> latency_target;
+  /// Limit of the time from a caller's first packet to the answer; std::nullopt
+  /// if there is none.
+  std::optional<std::chrono::milliseconds> time_limit;
+  /// Urgency of the route's requests, as in RequestClass.
+  std::uint8_t priority = RequestClass::kUnknownPriority;
 
   /// @return the service of a new connection, by weight and flow hash.
   ServiceTag ChooseService(std::uint64_t flow_hash) const;
--- a/packages/segment/include/cowslip/segment/segment.h
+++ b/packages/segment/include/cowslip/segment/segment.h
@@ -18,6 +18,8 @@
 
 /// @return the tag of a service name; equal on all balancers and sidecars.
 ServiceTag TagOf(std::string_view service_name);
+/// @return a hash of the name of a data centre, 0 if it is empty.
+std::uint64_t DataCenterTag(std::string_view name);
 
 /// Header fields of one packet of a connection (a TCP-like segment).
 struct Segment {
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -1,18 +1,16 @@
 #include "cowslip/segment/balancer.h"
 
 #include <algorithm>
-#include <array>
-#include <numeric>
 #include <stdexcept>
 
+#include "request_class.h"
+#include "syn_copy.h"
+
 namespace cowslip::segment {
 namespace {
 
 /// First interval at which a SYN is sent again while no member accepts it.
 constexpr std::chrono::milliseconds kSynRetryInterval{40};
-/// Part of the latency target, in percent, within which the upstream has to
-/// answer; the rest is for the round trips of the handshake and of the request.
-constexpr int kAnswerPercent = 90;
 /// Interval at which a packet that the retry budget holds back is checked.
 constexpr std::chrono::milliseconds kDeferralInterval{40};
 /// Time after the start in which members of a service may still be unknown: the
@@ -21,11 +19,6 @@
 /// Delay of the second lookup of a flow without an owner. Membership updates
 /// take a few milliseconds.
 constexpr std::chrono::milliseconds kConfirmDelay{25};
-/// Time until a copy of a SYN is dropped: the caller sends the next copy then,
-/// or gives up the attempt, 1.4 s after its first packet.
-constexpr std::array<std::chrono::milliseconds, 3> kSynLifetimes{
-    std::chrono::milliseconds(200), std::chrono::milliseconds(400),
-    std::chrono::milliseconds(600)};
 /// A lookup visits 12 members in about 20 ms. With 60 members, one of them
 /// unresponsive, it ends within this time.
 constexpr std::chrono::milliseconds kLookupLifetime{600};
@@ -45,23 +38,6 @@
 /// lookup.
 constexpr std::chrono::milliseconds kLostFlowLifetime{1500};
 
-/// @param copy number of the SYN's copy as the caller sent it: any value, 0 for
-/// the first copy.
-std::size_t CopyIndex(std::uint32_t copy) {
-  return std::min<std::size_t>(copy, kSynLifetimes.size() - 1);
-}
-
-std::chrono::milliseconds SynLifetime(std::uint32_t copy) {
-  return kSynLifetimes[CopyIndex(copy)];
-}
-
-/// @return time since the caller's first packet when it sends this copy.
-std::chrono::milliseconds SynAge(std::uint32_t copy) {
-  const auto* const end = kSynLifetimes.begin() + CopyIndex(copy);
-  return std::accumulate(kSynLifetimes.begin(), end,
-                         std::chrono::milliseconds{0});
-}
-
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -199,16 +175,6 @@
   return frame.hop_count > 0;
 }
 
-std::optional<std::chrono::milliseconds> Balancer::TimeLeft(
-    const PendingPacket& pending, TimePoint now) const {
-  const auto* route = routes_->Find(pending.segment.flow.service);
-  if (route == nullptr || !route->latency_target) return std::nullopt;
-  const Duration passed = now - pending.arrival + SynAge(pending.segment.ack);
-  const Duration left = *route->latency_target * kAnswerPercent / 100 - passed;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max(left, Duration::zero()));
-}
-
 void Balancer::SendToCandidates(PendingPacket& pending, TimePoint now,
                                 Outbox& out) {
   auto frame = pending.frame;
@@ -224,7 +190,10 @@
   frame.config = routes_->version;
   frame.balancer = self_;
   frame.searched = true;
-  if (pending.segment.is_syn()) frame.time_left = TimeLeft(pending, now);
+  if (const auto* route = routes_->Find(pending.segment.flow.service)) {
+    ClassifyRequest(*route, pending, members_.AllReadRequestClass(), now,
+                    frame);
+  }
   const auto first_hop = frame.hops[0];
   if (!pending.sent) {
     pending.timed_sidecar = first_hop;
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -47,6 +47,9 @@
   auto& service = services_[tag];
   std::vector<Upstream> previous;
   previous.swap(service.upstreams);
+  service.all_read_request_class =
+      std::all_of(members.begin(), members.end(),
+                  [](const auto& each) { return each.frame_version >= 1; });
   for (const auto& member : members) {
     const auto upstream = ToUpstream(member);
     const bool known =
@@ -70,6 +73,12 @@
   });
 }
 
+bool CandidateSelector::AllReadRequestClass() const {
+  return std::all_of(services_.begin(), services_.end(), [](const auto& each) {
+    return each.second.all_read_request_class;
+  });
+}
+
 bool CandidateSelector::HasResponsiveMember() const {
   return std::any_of(services_.begin(), services_.end(), [&](const auto& each) {
     const auto& members = each.second.upstreams;
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -26,12 +26,26 @@
   return value;
 }
 
-/// @return the field of a frame: 0 stands for no latency target.
-std::uint16_t EncodeTimeLeft(
-    std::optional<std::chrono::milliseconds> time_left) {
-  if (!time_left) return 0;
+/// @return the field of a frame: 0 stands for no time.
+std::uint16_t EncodeTime(std::optional<std::chrono::milliseconds> time) {
+  if (!time) return 0;
   return static_cast<std::uint16_t>(
-      std::clamp<std::int64_t>(time_left->count(), 1, UINT16_MAX));
+      std::clamp<std::int64_t>(time->count(), 1, UINT16_MAX));
+}
+
+std::optional<std::chrono::milliseconds> DecodeTime(std::uint16_t field) {
+  if (field == 0) return std::nullopt;
+  return std::chrono::milliseconds(field);
+}
+
+/// Reads the class of a request and removes it from the datagram.
+std::optional<RequestClass> TakeRequestClass(ByteView& datagram) {
+  const auto raw = ReadRaw<wire::ClassPrefix>(datagram);
+  if (!raw || KindOf(datagram) != FrameKind::kClassifiedSegment) {
+    return std::nullopt;
+  }
+  datagram = datagram.subspan(sizeof(wire::ClassPrefix));
+  return RequestClass{raw->priority(), DecodeTime(raw->time_limit_ms())};
 }
 
 }  // namespace
@@ -43,7 +57,8 @@
   std::memcpy(&magic, datagram.data(), sizeof magic);
   const auto kind = datagram[4];
   if (flatbuffers::EndianScalar(magic) != kMagic) return std::nullopt;
-  if (kind < 1 || kind > static_cast<std::uint8_t>(FrameKind::kProbe)) {
+  if (kind < 1 ||
+      kind > static_cast<std::uint8_t>(FrameKind::kClassifiedSegment)) {
     return std::nullopt;
   }
   return static_cast<FrameKind>(kind);
@@ -51,6 +66,7 @@
 
 std::optional<SegmentFrame> DecodeSegmentFrame(ByteView datagram,
                                                ByteView& packet) {
+  const auto request = TakeRequestClass(datagram);
   const auto raw = ReadRaw<wire::SegmentFrame>(datagram);
   if (!raw || raw->magic() != kMagic || raw->hop_count() == 0 ||
       raw->hop_count() > kMaxHops || raw->place() >= raw->hop_count() ||
@@ -72,9 +88,8 @@
   frame.searched = raw->searched() != 0;
   frame.other_service = raw->other_service() != 0;
   frame.overloaded = raw->overloaded() != 0;
-  if (raw->time_left_ms() != 0) {
-    frame.time_left = std::chrono::milliseconds(raw->time_left_ms());
-  }
+  frame.time_left = DecodeTime(raw->time_left_ms());
+  frame.request = request;
   frame.best_wait_us = raw->best_wait();
   frame.best_place = raw->best_place();
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
@@ -109,6 +124,13 @@
 
 void AppendSegmentFrame(const SegmentFrame& frame, ByteView packet,
                         Bytes& out) {
+  if (frame.request) {
+    AppendRaw(
+        wire::ClassPrefix(
+            kMagic, static_cast<std::uint8_t>(FrameKind::kClassifiedSegment),
+            frame.request->priority, EncodeTime(frame.request->time_limit)),
+        out);
+  }
   AppendRaw(wire::SegmentFrame(
                 kMagic, static_cast<std::uint8_t>(FrameKind::kSegment),
                 frame.place, frame.hop_count, frame.asked, frame.config,
@@ -116,7 +138,7 @@
                 frame.best_wait_us, frame.best_place, frame.forced ? 1 : 0,
                 frame.inconclusive ? 1 : 0, frame.searched ? 1 : 0,
                 frame.other_service ? 1 : 0, frame.overloaded ? 1 : 0,
-                EncodeTimeLeft(frame.time_left)),
+                EncodeTime(frame.time_left)),
             out);
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
     AppendRaw(flatbuffers::EndianScalar(frame.hops[i]), out);
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -202,6 +202,28 @@
   BOOST_TEST((*route->latency_target == std::chrono::hours(1)));
 }
 
+// Guards against routes whose urgency and time limit are ignored.
+BOOST_AUTO_TEST_CASE(RouteHasPriorityAndTimeLimit) {
+  LastReason<AdapterError> reason;
+  const auto table = ParseRouteDocument(
+      R"({"version":3,"routes":[
+          {"host":"198.18.0.1","prefix":"/80/","service":"a","sloMs":300,
+           "timeoutMs":1500,"priority":2},
+          {"host":"198.18.0.1","prefix":"/81/","service":"a","timeoutMs":0,
+           "priority":70000},
+          {"host":"198.18.0.1","prefix":"/82/","service":"a"}]})",
+      reason);
+  BOOST_REQUIRE_MESSAGE(table.has_value(), reason.Message());
+  const auto* route = table->Find({0xC6120001, 80});
+  BOOST_TEST((route->time_limit == std::chrono::milliseconds(1500)));
+  BOOST_TEST(route->priority == 2);
+  const auto* limited = table->Find({0xC6120001, 81});
+  BOOST_TEST((limited->time_limit == std::nullopt));
+  BOOST_TEST(limited->priority == 254);
+  BOOST_TEST(table->Find({0xC6120001, 82})->priority ==
+             segment::RequestClass::kUnknownPriority);
+}
+
 BOOST_AUTO_TEST_CASE(DocumentWithAnInvalidRouteIsRejected) {
   for (const char* prefix : {"8443", "/x/", "/70000/", "//"}) {
     LastReason<AdapterError> reason;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -109,6 +109,22 @@
   BOOST_TEST(per_second < 3000);
 }
 
+// Guards against entries that lose the data centre, and against entries of
+// earlier builds, which have none.
+BOOST_AUTO_TEST_CASE(EntryHasDataCenterAndFrameVersion) {
+  Message message;
+  PeerEntry entry;
+  entry.address = 1;
+  entry.data_center = "lima-ate";
+  entry.frame_version = 1;
+  message.entries = {entry, PeerEntry{}};
+  const auto read = Decode(Encode(message));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->entries == message.entries));
+  message.entries[0].data_center.assign(201, 'x');
+  BOOST_TEST(!Decode(Encode(message)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(InvalidDatagramsAreRejected) {
   auto datagram = Encode(Message{});
   BOOST_TEST(Decode(datagram).has_value());
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -216,6 +216,34 @@
              boost::test_tools::per_element());
 }
 
+// Guards against a class that is lost on the way, and against frames that
+// sidecars of earlier builds can't read.
+BOOST_AUTO_TEST_CASE(FrameWithRequestClassRoundTrip) {
+  SegmentFrame frame;
+  frame.hop_count = 1;
+  frame.time_left = milliseconds(270);
+  const Bytes packet{1, 2, 3, 4};
+  Bytes plain;
+  AppendSegmentFrame(frame, packet, plain);
+  BOOST_TEST((KindOf(plain) == FrameKind::kSegment));
+
+  frame.request = RequestClass{1, milliseconds(2000)};
+  Bytes classified;
+  AppendSegmentFrame(frame, packet, classified);
+  BOOST_TEST((KindOf(classified) == FrameKind::kClassifiedSegment));
+  BOOST_TEST(classified.size() == plain.size() + 8);
+  ByteView inner;
+  const auto read = DecodeSegmentFrame(classified, inner);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->request == frame.request));
+  BOOST_TEST((read->time_left == frame.time_left));
+  BOOST_TEST(Bytes(inner.begin(), inner.end()) == packet,
+             boost::test_tools::per_element());
+  for (std::size_t size = 0; size + packet.size() < classified.size(); ++size) {
+    BOOST_TEST(!DecodeSegmentFrame(ByteView(classified).first(size), inner));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidFramesAreRejected) {
   SegmentFrame frame;
   frame.hop_count = 2;
