segment: new connections stay in the own data centre

Placement did not take data centres into account, so traffic between them was as large as the share of members elsewhere. Where members are known to be in the own data centre and in others, Placement offers a new connection to the four open local members that rank first, those whose response is expected within half of the latency target first, and to two others. Connections sent since a member's last report count against it. Lookups list the four first-ranked local members first; a change of a member's data centre counts as a removal, as it moves positions. With one data centre, or none known, the order is as before.

Reported waits over 60 s and more than 64 free slots are capped. cowslip_placements_total counts accepted connections by data centre.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -12,9 +12,12 @@
 #include "cowslip/segment/flow_state_table.h"         // IWYU pragma: export
 #include "cowslip/segment/frame.h"                    // IWYU pragma: export
 #include "cowslip/segment/load_estimator.h"           // IWYU pragma: export
+#include "cowslip/segment/locality.h"                 // IWYU pragma: export
 #include "cowslip/segment/member.h"                   // IWYU pragma: export
 #include "cowslip/segment/observer.h"                 // IWYU pragma: export
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
+#include "cowslip/segment/placement.h"                // IWYU pragma: export
+#include "cowslip/segment/placement_counts.h"         // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
 #include "cowslip/segment/round_trip_estimator.h"     // IWYU pragma: export
 #include "cowslip/segment/route_table.h"              // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -33,7 +33,9 @@
   /// Capacity of the cache that maps a flow to its sidecar.
   static constexpr std::size_t kHintCapacity = 8192;
 
-  Balancer(InstanceAddress self, Observer& observer, TimePoint started);
+  /// @param data_center DataCenterTag() of its data centre, 0 if not known.
+  Balancer(InstanceAddress self, Observer& observer, TimePoint started,
+           std::uint64_t data_center = 0);
   Balancer(const Balancer&) = delete;
   Balancer& operator=(const Balancer&) = delete;
 
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "cowslip/base.h"
+#include "cowslip/segment/placement_counts.h"
 
 namespace cowslip::segment {
 
@@ -32,6 +33,7 @@
   std::uint64_t overloaded = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
+  PlacementCounts placements;   ///< SYNs accepted by a sidecar.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
   /// has accepted it.
   LatencyHistogram placement_time;
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <unordered_map>
@@ -9,6 +10,7 @@
 #include "cowslip/base.h"
 #include "cowslip/flow.h"
 #include "cowslip/segment/frame.h"
+#include "cowslip/segment/locality.h"
 #include "cowslip/segment/member.h"
 #include "cowslip/segment/route_table.h"
 #include "cowslip/segment/sidecar_state_table.h"
@@ -16,15 +18,19 @@
 namespace cowslip::segment {
 
 /// The members of all services. Builds the candidate list of a frame: members
-/// ranked by the hash of the flow, adjusted by the state of each sidecar.
+/// ranked by the hash of the flow, adjusted by the state of each sidecar and,
+/// where members are known to be in several data centres, by Placement.
 class CandidateSelector {
  public:
   /// Number of top-ranked sidecars that are ordered by load for a new
   /// connection.
   static constexpr std::size_t kPlacementCandidates = 4;
 
-  explicit CandidateSelector(const SidecarStateTable& sidecar_states)
-      : sidecar_states_(&sidecar_states) {}
+  /// @param data_center DataCenterTag() of the balancer's own data centre, 0 if
+  /// it is not known.
+  CandidateSelector(const SidecarStateTable& sidecar_states,
+                    std::uint64_t data_center)
+      : sidecar_states_(&sidecar_states), data_center_(data_center) {}
 
   /// Replaces the members of a service.
   /// @param joined_now whether members that were not listed before count as
@@ -34,8 +40,9 @@
   bool HasMembers() const;
   /// @return whether all members understand frames with a request class.
   bool AllReadRequestClass() const;
-  /// @return how often a member was removed. Positions in the ranking that were
-  /// determined before a removal mean other members after it.
+  /// @return how often a member was removed, or moved by a change of its data
+  /// centre. Positions in the ranking that were determined before mean other
+  /// members afterwards.
   std::uint64_t removals() const { return removals_; }
   /// @return whether some member of some service is responsive.
   bool HasResponsiveMember() const;
@@ -57,10 +64,18 @@
     });
   }
 
+  /// @return where a member of a service is, seen from the balancer.
+  Locality LocalityOf(ServiceTag tag, InstanceAddress member) const;
+
   /// Adds candidates for a new connection to a frame, the best first.
+  /// @param latency_target of the route.
   /// @return whether there are any.
-  bool ListForNewFlow(std::uint64_t hash, TimePoint now, SegmentFrame& frame);
-  /// Adds the members that may own a flow to a frame, the likeliest first.
+  bool ListForNewFlow(std::uint64_t hash,
+                      std::optional<std::chrono::milliseconds> latency_target,
+                      TimePoint now, SegmentFrame& frame);
+  /// Adds the members that may own a flow to a frame, the likeliest first:
+  /// those of the own data centre that rank first, where Placement prefers
+  /// them, then the ranking.
   /// @param skip number of candidates that were queried already.
   /// @param knows_former whether the route lists all services that may own open
   /// connections; otherwise the members of all other services follow.
@@ -75,11 +90,27 @@
   struct Service {
     /// Members in the form that flow::Ranking takes.
     std::vector<Upstream> upstreams;
+    /// Locality of each of them.
+    std::vector<Locality> localities;
+    /// Members are known to be in the own data centre and in others.
+    bool spans_data_centers = false;
     TimePoint last_join{};  ///< When a member last joined.
     bool all_read_request_class = true;
   };
 
+  /// @return whether a connection to a ranked member stays local. A member of
+  /// an unknown data centre counts as local, as nothing speaks against it.
+  static bool IsLocal(const Service& service, const Upstream& ranked);
+  bool IsCandidate(const Upstream& ranked) const;
+  /// Adds the candidates of Placement for a new connection.
+  void AppendPlaced(const Service& service,
+                    std::optional<std::chrono::milliseconds> latency_target,
+                    TimePoint now, SegmentFrame& frame) const;
+  /// Adds the first-ranked open members by their last reported wait.
+  void AppendByWait(TimePoint now, SegmentFrame& frame) const;
+  Locality LocalityOfTag(std::uint64_t data_center) const;
   void AppendCandidates(ServiceTag tag, std::uint64_t hash);
+  void AppendCandidate(InstanceAddress sidecar);
   /// @return whether all services whose members may own a flow meet a
   /// condition.
   template <typename Condition>
@@ -98,6 +129,7 @@
   }
 
   const SidecarStateTable* sidecar_states_;
+  std::uint64_t data_center_;
   std::unordered_map<ServiceTag, Service> services_;
   std::uint64_t removals_ = 0;
   flow::Ranking ranking_;
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -30,6 +32,11 @@
   static constexpr std::chrono::milliseconds kExpectedWaitLifetime{1500};
   /// Age at which a reported number of free slots is discarded as outdated.
   static constexpr std::chrono::milliseconds kFreeSlotsLifetime{300};
+  /// Limits of reported values. A report beyond them is a fault of its sender;
+  /// without limits it would rule out a member, or attract all connections.
+  static constexpr std::chrono::microseconds kMaxExpectedWait{
+      std::chrono::seconds(60)};
+  static constexpr std::uint16_t kMaxFreeSlots = 64;
 
   void OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now);
   /// A packet to the sidecar was not acknowledged in time.
@@ -45,6 +52,15 @@
   /// @return the expected wait that the sidecar last reported, 0 if there is no
   /// recent report.
   std::uint32_t ExpectedWaitUs(InstanceAddress sidecar, TimePoint now) const;
+  /// @return the expected wait that the sidecar last reported, std::nullopt if
+  /// there is no recent report.
+  std::optional<std::chrono::microseconds> RecentWait(InstanceAddress sidecar,
+                                                      TimePoint now) const;
+  /// A new connection was sent to the sidecar.
+  void Reserve(InstanceAddress sidecar, TimePoint now);
+  /// @return the connections sent to the sidecar since its last report, 0 if
+  /// they are so old that no report will count them.
+  std::uint32_t Reservations(InstanceAddress sidecar, TimePoint now) const;
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
@@ -61,7 +77,12 @@
     std::uint32_t wait_us = 0;
     std::uint16_t free_slots = 0;
     TimePoint reported_at{};
+    /// When wait_us was reported. ClaimSlot() moves reported_at.
+    std::optional<TimePoint> wait_reported_at;
     TimePoint last_probe{};
+    /// Connections sent to it since the last report, and the time of the last.
+    std::uint32_t reservations = 0;
+    TimePoint reserved_at{};
   };
 
   std::unordered_map<InstanceAddress, Contact> contacts_;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -47,13 +47,14 @@
 
 }  // namespace
 
-Balancer::Balancer(InstanceAddress self, Observer& observer, TimePoint started)
+Balancer::Balancer(InstanceAddress self, Observer& observer, TimePoint started,
+                   std::uint64_t data_center)
     : self_(self),
       observer_(&observer),
       started_(started),
       routes_(std::make_shared<RouteTable>()),
       route_history_(started),
-      members_(sidecar_states_),
+      members_(sidecar_states_, data_center),
       hints_(MakeHints()) {}
 
 void Balancer::SetRoutes(std::shared_ptr<const RouteTable> routes,
@@ -156,7 +157,7 @@
   if (route == nullptr) return false;
   frame.service = route->ChooseService(hash);
   if (segment.is_syn()) {
-    members_.ListForNewFlow(hash, now, frame);
+    members_.ListForNewFlow(hash, route->latency_target, now, frame);
   } else {
     frame.inconclusive = false;
     frame.other_service = false;
@@ -202,6 +203,7 @@
   } else if (pending.timed_sidecar == first_hop) {
     pending.timed_sidecar = 0;
   }
+  if (pending.segment.is_syn()) sidecar_states_.Reserve(first_hop, now);
   pending.sent = true;
   pending.awaiting_ack_from = first_hop;
   pending.timeout_noted = false;
@@ -260,6 +262,10 @@
       hints_.Insert(ack.flow, HashFlow(ack.flow), UpstreamId{sidecar}, now);
       const auto found = pending_.find(ack.flow);
       if (found == pending_.end()) return;
+      if (ack.syn) {
+        stats_.placements.Count(
+            members_.LocalityOf(found->second.frame.service, sidecar));
+      }
       stats_.placement_time.Record(now - found->second.arrival);
       pending_.erase(found);
       return;
@@ -303,6 +309,7 @@
   }
   auto& pending = found->second;
   if (pending.awaiting_ack_from != sidecar) return;
+  if (ack.syn) sidecar_states_.Reserve(ack.next, now);
   pending.awaiting_ack_from = ack.next;
   pending.timeout_noted = false;
   pending.next_attempt = now + round_trips_.Timeout(pending.resends);
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
+
+#include "cowslip/segment/placement.h"
 
 namespace cowslip::segment {
 namespace {
@@ -41,30 +44,70 @@
 
 }  // namespace
 
+Locality CandidateSelector::LocalityOfTag(std::uint64_t data_center) const {
+  if (data_center == 0 || data_center_ == 0) return Locality::kUnknown;
+  return data_center == data_center_ ? Locality::kOwn : Locality::kOther;
+}
+
 void CandidateSelector::ReplaceMembers(ServiceTag tag,
                                        const std::vector<Member>& members,
                                        bool joined_now, TimePoint now) {
   auto& service = services_[tag];
-  std::vector<Upstream> previous;
-  previous.swap(service.upstreams);
+  const auto previous = std::move(service);
+  service = Service{};
+  service.last_join = previous.last_join;
   service.all_read_request_class =
       std::all_of(members.begin(), members.end(),
                   [](const auto& each) { return each.frame_version >= 1; });
+  bool known_own = false;
+  bool known_other = false;
   for (const auto& member : members) {
-    const auto upstream = ToUpstream(member);
-    const bool known =
-        std::any_of(previous.begin(), previous.end(),
-                    [&](const auto& each) { return each.id == upstream.id; });
-    if (!known && joined_now) service.last_join = now;
-    service.upstreams.push_back(upstream);
+    service.upstreams.push_back(ToUpstream(member));
+    const auto locality = LocalityOfTag(member.data_center);
+    service.localities.push_back(locality);
+    known_own = known_own || locality == Locality::kOwn;
+    known_other = known_other || locality == Locality::kOther;
   }
-  const bool removed =
-      std::any_of(previous.begin(), previous.end(), [&](const auto& former) {
-        return std::none_of(
-            service.upstreams.begin(), service.upstreams.end(),
-            [&](const auto& each) { return each.id == former.id; });
-      });
-  if (removed) ++removals_;
+  service.spans_data_centers = known_own && known_other;
+  const auto find = [](const Service& in, UpstreamId id) {
+    return std::find_if(in.upstreams.begin(), in.upstreams.end(),
+                        [&](const auto& each) { return each.id == id; });
+  };
+  const bool joined =
+      std::any_of(service.upstreams.begin(), service.upstreams.end(),
+                  [&](const auto& each) {
+                    return find(previous, each.id) == previous.upstreams.end();
+                  });
+  if (joined && joined_now) service.last_join = now;
+  const bool moved =
+      std::any_of(previous.upstreams.begin(), previous.upstreams.end(),
+                  [&](const auto& former) {
+                    const auto same = find(service, former.id);
+                    return same == service.upstreams.end() ||
+                           IsLocal(service, *same) != IsLocal(previous, former);
+                  });
+  if (moved) ++removals_;
+}
+
+bool CandidateSelector::IsLocal(const Service& service,
+                                const Upstream& ranked) {
+  const auto index = &ranked - service.upstreams.data();
+  return service.spans_data_centers &&
+         service.localities[static_cast<std::size_t>(index)] !=
+             Locality::kOther;
+}
+
+Locality CandidateSelector::LocalityOf(ServiceTag tag,
+                                       InstanceAddress member) const {
+  const auto service = services_.find(tag);
+  if (service == services_.end()) return Locality::kUnknown;
+  const auto& upstreams = service->second.upstreams;
+  const auto found =
+      std::find_if(upstreams.begin(), upstreams.end(),
+                   [&](const auto& each) { return Raw(each.id) == member; });
+  if (found == upstreams.end()) return Locality::kUnknown;
+  return service->second
+      .localities[static_cast<std::size_t>(found - upstreams.begin())];
 }
 
 bool CandidateSelector::HasMembers() const {
@@ -106,12 +149,34 @@
   });
 }
 
-/// Orders the top-ranked sidecars by their last reported wait.
-bool CandidateSelector::ListForNewFlow(std::uint64_t hash, TimePoint now,
-                                       SegmentFrame& frame) {
-  const auto service = services_.find(frame.service);
-  if (service == services_.end()) return false;
-  ranking_.Build(service->second.upstreams, hash);
+bool CandidateSelector::IsCandidate(const Upstream& ranked) const {
+  const auto sidecar = Raw(ranked.id);
+  const bool listed_open = ranked.state == UpstreamState::kActive;
+  return sidecar_states_->IsOpen(sidecar, listed_open) &&
+         !sidecar_states_->IsUnresponsive(sidecar);
+}
+
+void CandidateSelector::AppendPlaced(
+    const Service& service,
+    std::optional<std::chrono::milliseconds> latency_target, TimePoint now,
+    SegmentFrame& frame) const {
+  Placement placement;
+  for (const auto* upstream : ranking_.order()) {
+    if (placement.IsFull()) break;
+    if (!IsCandidate(*upstream)) continue;
+    const InstanceAddress sidecar = Raw(upstream->id);
+    placement.Offer(
+        {.sidecar = sidecar,
+         .is_local = IsLocal(service, *upstream),
+         .wait = sidecar_states_->RecentWait(sidecar, now),
+         .reservations = sidecar_states_->Reservations(sidecar, now)});
+  }
+  for (const auto& candidate : placement.Order(latency_target)) {
+    Append(frame, candidate.sidecar);
+  }
+}
+
+void CandidateSelector::AppendByWait(TimePoint now, SegmentFrame& frame) const {
   struct Candidate {
     InstanceAddress sidecar;
     std::uint32_t wait_us;
@@ -119,10 +184,8 @@
   std::array<Candidate, kPlacementCandidates> closest;
   std::size_t count = 0;
   for (const auto* upstream : ranking_.order()) {
+    if (!IsCandidate(*upstream)) continue;
     const auto sidecar = Raw(upstream->id);
-    const bool listed_open = upstream->state == UpstreamState::kActive;
-    if (!sidecar_states_->IsOpen(sidecar, listed_open)) continue;
-    if (sidecar_states_->IsUnresponsive(sidecar)) continue;
     closest[count++] = {sidecar, sidecar_states_->ExpectedWaitUs(sidecar, now)};
     if (count == closest.size()) break;
   }
@@ -130,6 +193,19 @@
       closest.begin(), closest.begin() + count,
       [](const auto& a, const auto& b) { return a.wait_us < b.wait_us; });
   for (std::size_t i = 0; i < count; ++i) Append(frame, closest[i].sidecar);
+}
+
+bool CandidateSelector::ListForNewFlow(
+    std::uint64_t hash, std::optional<std::chrono::milliseconds> latency_target,
+    TimePoint now, SegmentFrame& frame) {
+  const auto service = services_.find(frame.service);
+  if (service == services_.end()) return false;
+  ranking_.Build(service->second.upstreams, hash);
+  if (service->second.spans_data_centers) {
+    AppendPlaced(service->second, latency_target, now, frame);
+  } else {
+    AppendByWait(now, frame);
+  }
   // Sidecars that were closed when last seen may have opened since, so they
   // come last. An unresponsive one would lose a SYN for which no other has a
   // free slot, instead of forwarding it to the shortest queue.
@@ -178,12 +254,25 @@
   const auto service = services_.find(tag);
   if (service == services_.end()) return;
   ranking_.Build(service->second.upstreams, hash);
+  // Placement prefers local members, so they are the likeliest owners. Which
+  // ones are listed first depends on the ranking alone, not on their state, so
+  // that positions stay the same between the groups of one lookup.
+  std::size_t local = 0;
   for (const auto* upstream : ranking_.order()) {
-    const auto sidecar = Raw(upstream->id);
-    const bool listed = std::find(candidates_.begin(), candidates_.end(),
-                                  sidecar) != candidates_.end();
-    if (!listed) candidates_.push_back(sidecar);
+    if (local == Placement::kLocalCandidates) break;
+    if (!IsLocal(service->second, *upstream)) continue;
+    AppendCandidate(Raw(upstream->id));
+    ++local;
   }
+  for (const auto* upstream : ranking_.order()) {
+    AppendCandidate(Raw(upstream->id));
+  }
+}
+
+void CandidateSelector::AppendCandidate(InstanceAddress sidecar) {
+  const bool listed = std::find(candidates_.begin(), candidates_.end(),
+                                sidecar) != candidates_.end();
+  if (!listed) candidates_.push_back(sidecar);
 }
 
 }  // namespace cowslip::segment
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -10,9 +10,13 @@
   contact.misses = 0;
   contact.has_report = true;
   contact.open = ack.open;
-  contact.wait_us = ack.expected_wait_us;
-  contact.free_slots = ack.free_slots;
+  contact.wait_us =
+      std::min(ack.expected_wait_us,
+               static_cast<std::uint32_t>(kMaxExpectedWait.count()));
+  contact.free_slots = std::min(ack.free_slots, kMaxFreeSlots);
   contact.reported_at = now;
+  contact.wait_reported_at = now;
+  contact.reservations = 0;
 }
 
 void SidecarStateTable::OnTimeout(InstanceAddress sidecar, TimePoint now) {
@@ -41,6 +45,37 @@
   return found->second.wait_us;
 }
 
+std::optional<std::chrono::microseconds> SidecarStateTable::RecentWait(
+    InstanceAddress sidecar, TimePoint now) const {
+  const auto found = contacts_.find(sidecar);
+  if (found == contacts_.end()) return std::nullopt;
+  const auto& contact = found->second;
+  const bool is_recent =
+      contact.wait_reported_at &&
+      now - *contact.wait_reported_at <= kExpectedWaitLifetime;
+  if (!is_recent) return std::nullopt;
+  return std::chrono::microseconds(contact.wait_us);
+}
+
+void SidecarStateTable::Reserve(InstanceAddress sidecar, TimePoint now) {
+  auto& contact = contacts_[sidecar];
+  if (now - contact.reserved_at > kExpectedWaitLifetime) {
+    contact.reservations = 0;
+  }
+  ++contact.reservations;
+  contact.reserved_at = now;
+}
+
+std::uint32_t SidecarStateTable::Reservations(InstanceAddress sidecar,
+                                              TimePoint now) const {
+  const auto found = contacts_.find(sidecar);
+  if (found == contacts_.end() ||
+      now - found->second.reserved_at > kExpectedWaitLifetime) {
+    return 0;
+  }
+  return found->second.reservations;
+}
+
 bool SidecarStateTable::ClaimSlot(InstanceAddress sidecar, TimePoint now) {
   auto& contact = contacts_[sidecar];
   if (contact.misses >= kMaxMisses) return false;
