segment: a closed sidecar is tried again once its report is outdated

A sidecar that was closed gets no connections, so no acknowledgement tells a balancer that it has opened: in placement_test a data centre that was taken back stayed unused.

--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -101,7 +101,7 @@
   /// @return whether a connection to a ranked member stays local. A member of
   /// an unknown data centre counts as local, as nothing speaks against it.
   static bool IsLocal(const Service& service, const Upstream& ranked);
-  bool IsCandidate(const Upstream& ranked) const;
+  bool IsCandidate(const Upstream& ranked, TimePoint now) const;
   /// Adds the candidates of Placement for a new connection.
   void AppendPlaced(const Service& service,
                     std::optional<std::chrono::milliseconds> latency_target,
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -47,8 +47,10 @@
   /// @return whether the sidecar is unresponsive.
   bool IsUnresponsive(InstanceAddress sidecar) const;
   /// @return whether a sidecar accepts new connections: as of its last
-  /// acknowledgement, or `listed_open` if there is none.
-  bool IsOpen(InstanceAddress sidecar, bool listed_open) const;
+  /// acknowledgement, or `listed_open` if there is none. A sidecar that was
+  /// closed gets no connections and so sends no acknowledgement when it opens
+  /// again; after kExpectedWaitLifetime, `listed_open` counts.
+  bool IsOpen(InstanceAddress sidecar, bool listed_open, TimePoint now) const;
   /// @return the expected wait that the sidecar last reported, 0 if there is no
   /// recent report.
   std::uint32_t ExpectedWaitUs(InstanceAddress sidecar, TimePoint now) const;
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -149,10 +149,11 @@
   });
 }
 
-bool CandidateSelector::IsCandidate(const Upstream& ranked) const {
+bool CandidateSelector::IsCandidate(const Upstream& ranked,
+                                    TimePoint now) const {
   const auto sidecar = Raw(ranked.id);
   const bool listed_open = ranked.state == UpstreamState::kActive;
-  return sidecar_states_->IsOpen(sidecar, listed_open) &&
+  return sidecar_states_->IsOpen(sidecar, listed_open, now) &&
          !sidecar_states_->IsUnresponsive(sidecar);
 }
 
@@ -163,7 +164,7 @@
   Placement placement;
   for (const auto* upstream : ranking_.order()) {
     if (placement.IsFull()) break;
-    if (!IsCandidate(*upstream)) continue;
+    if (!IsCandidate(*upstream, now)) continue;
     const InstanceAddress sidecar = Raw(upstream->id);
     placement.Offer(
         {.sidecar = sidecar,
@@ -184,7 +185,7 @@
   std::array<Candidate, kPlacementCandidates> closest;
   std::size_t count = 0;
   for (const auto* upstream : ranking_.order()) {
-    if (!IsCandidate(*upstream)) continue;
+    if (!IsCandidate(*upstream, now)) continue;
     const auto sidecar = Raw(upstream->id);
     closest[count++] = {sidecar, sidecar_states_->ExpectedWaitUs(sidecar, now)};
     if (count == closest.size()) break;
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -30,11 +30,14 @@
   return found != contacts_.end() && found->second.misses >= kMaxMisses;
 }
 
-bool SidecarStateTable::IsOpen(InstanceAddress sidecar,
-                               bool listed_open) const {
+bool SidecarStateTable::IsOpen(InstanceAddress sidecar, bool listed_open,
+                               TimePoint now) const {
   const auto found = contacts_.find(sidecar);
   if (found == contacts_.end() || !found->second.has_report) return listed_open;
-  return found->second.open;
+  const auto& contact = found->second;
+  const bool is_outdated =
+      !contact.open && now - contact.reported_at > kExpectedWaitLifetime;
+  return is_outdated ? listed_open : contact.open;
 }
 
 std::uint32_t SidecarStateTable::ExpectedWaitUs(InstanceAddress sidecar,
