tests: placement by data centre beside simpler policies

placement_test replays the same load with each policy in virtual time: demand waves out of phase in three data centres, an evacuated and a cold data centre, late and lost acknowledgements, an implausible report, entries without a data centre.

--- /dev/null
+++ b/tests/segment/placement_test.cc
@@ -0,0 +1,396 @@
+// Placement of connections in several data centres and on upstreams of unequal
+// load, in virtual time, beside simpler policies that get the same load.
+#define BOOST_TEST_MODULE placement
+#include <boost/test/unit_test.hpp>
+#include <cmath>
+#include <map>
+#include <numbers>
+
+#include "segment/load_replay.h"
+
+namespace cowslip::segment::test {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint64_t kSeed = 20261206;
+constexpr double kMeanCost = 0.04;
+constexpr int kDataCenters = 3;
+constexpr int kUpstreamsEach = 16;
+
+std::chrono::duration<double> DrawEven(std::mt19937_64& random) {
+  std::uniform_real_distribution<double> spread(0.8, 1.2);
+  return std::chrono::duration<double>(kMeanCost * spread(random));
+}
+
+LoadPlan MakePlan(int data_centers, int upstreams_each) {
+  LoadPlan plan;
+  plan.data_centers = data_centers;
+  for (int i = 0; i < data_centers * upstreams_each; ++i) {
+    plan.upstreams.push_back({.data_center = i % data_centers});
+  }
+  return plan;
+}
+
+/// @return requests per second that the upstreams of a plan can serve.
+double CapacityOf(const LoadPlan& plan) {
+  double capacity = 0;
+  for (const auto& each : plan.upstreams) {
+    capacity += each.slots / (kMeanCost * each.factor);
+  }
+  return capacity;
+}
+
+std::map<Policy, ReplayResult> ReplayAll(const LoadPlan& plan,
+                                         const std::vector<Policy>& policies,
+                                         const ReplayFaults& faults = {}) {
+  std::map<Policy, ReplayResult> results;
+  for (const auto policy : policies) {
+    results[policy] = LoadReplay(plan, policy, faults).Run();
+    BOOST_TEST_MESSAGE("  " << ToString(policy) << ": " << results[policy]);
+  }
+  return results;
+}
+
+const std::vector<Policy> kAllPolicies{
+    Policy::kHashOnly,   Policy::kRoundRobin, Policy::kLeastReported,
+    Policy::kPowerOfTwo, Policy::kOracle,     Policy::kAnyDataCenter,
+    Policy::kPlacement};
+
+/// Demand in each data centre swings by `swing` of the mean, a third of a
+/// period apart.
+LoadPlan MakeWaves(double of_capacity, double swing, seconds length) {
+  constexpr double kPeriod = 10;
+  auto plan = MakePlan(kDataCenters, kUpstreamsEach);
+  const double mean = of_capacity * CapacityOf(plan) / kDataCenters;
+  FlowGenerator(kSeed, DrawEven)
+      .Add(plan, length, mean * (1 + swing), [&](int center, Duration at) {
+        const double phase =
+            std::chrono::duration<double>(at).count() / kPeriod +
+            static_cast<double>(center) / kDataCenters;
+        return mean * (1 + swing * std::sin(2 * std::numbers::pi * phase));
+      });
+  return plan;
+}
+
+/// Callers of no data centre are served worse; the margin is the noise of
+/// single requests.
+void CheckNotWorse(const ReplayResult& placed, const ReplayResult& before) {
+  constexpr double kMargin = 0.002;
+  for (std::size_t i = 0; i < placed.requests_of.size(); ++i) {
+    const auto center = static_cast<int>(i);
+    BOOST_TEST(placed.InTargetOf(center) >=
+               before.InTargetOf(center) - kMargin);
+  }
+}
+
+}  // namespace
+
+// Guards against members of other data centres being preferred, and against
+// local ones that are late being kept.
+BOOST_AUTO_TEST_CASE(LocalMembersComeFirstWhileInTime) {
+  Placement placement;
+  using std::chrono::microseconds;
+  placement.Offer({.sidecar = 1, .is_local = false, .wait = microseconds(10)});
+  placement.Offer({.sidecar = 2, .is_local = true, .wait = milliseconds(90)});
+  placement.Offer({.sidecar = 3, .is_local = true, .wait = milliseconds(40)});
+  placement.Offer({.sidecar = 4, .is_local = true, .wait = milliseconds(151)});
+  const auto order = placement.Order(milliseconds(300));
+  BOOST_REQUIRE(order.size() == 4);
+  BOOST_TEST(order[0].sidecar == 3);
+  BOOST_TEST(order[1].sidecar == 2);
+  BOOST_TEST(order[2].sidecar == 1);
+  BOOST_TEST(order[3].sidecar == 4);
+}
+
+// Guards against several connections in a row to the member that reported the
+// least wait, before its next report.
+BOOST_AUTO_TEST_CASE(ReservationsCountUntilTheNextReport) {
+  SidecarStateTable states;
+  const TimePoint now{seconds(100)};
+  Ack ack;
+  ack.open = true;
+  ack.expected_wait_us = 20'000;
+  states.OnAck(1, ack, now);
+  ack.expected_wait_us = 25'000;
+  states.OnAck(2, ack, now);
+  CandidateSelector selector(states, /*data_center=*/1);
+  selector.ReplaceMembers(
+      ServiceTag{7}, {{1, true, 1}, {2, true, 1}, {3, true, 2}}, false, now);
+  const auto first_hop = [&] {
+    SegmentFrame frame;
+    frame.service = ServiceTag{7};
+    selector.ListForNewFlow(5, milliseconds(300), now, frame);
+    states.Reserve(frame.hops[0], now);
+    return frame.hops[0];
+  };
+  BOOST_TEST(first_hop() == 1U);
+  BOOST_TEST(first_hop() == 2U);
+  BOOST_TEST(first_hop() == 1U);
+  states.OnAck(1, ack, now);
+  BOOST_TEST(states.Reservations(1, now) == 0U);
+  // Without a report, reservations end with the lifetime of reports, so that a
+  // member whose acknowledgements were lost is used again.
+  BOOST_TEST(states.Reservations(2, now) == 1U);
+  BOOST_TEST(states.Reservations(2, now + seconds(2)) == 0U);
+}
+
+// Guards against a faulty report ruling a member out for good, or attracting
+// all connections.
+BOOST_AUTO_TEST_CASE(ImplausibleReportsAreCapped) {
+  SidecarStateTable states;
+  const TimePoint now{seconds(100)};
+  Ack ack;
+  ack.open = true;
+  ack.expected_wait_us = UINT32_MAX;
+  ack.free_slots = UINT16_MAX;
+  states.OnAck(1, ack, now);
+  BOOST_TEST((*states.RecentWait(1, now) == seconds(60)));
+  int claimed = 0;
+  while (states.ClaimSlot(1, now)) ++claimed;
+  BOOST_TEST(claimed == 64);
+}
+
+// Guards against a member without a recent report being tried before all
+// others, or never.
+BOOST_AUTO_TEST_CASE(MemberWithoutRecentReportCountsAsAverage) {
+  Placement placement;
+  placement.Offer({.sidecar = 1, .is_local = true, .wait = milliseconds(60)});
+  placement.Offer({.sidecar = 2, .is_local = true, .wait = std::nullopt});
+  placement.Offer({.sidecar = 3, .is_local = true, .wait = milliseconds(20)});
+  const auto order = placement.Order(milliseconds(300));
+  BOOST_TEST(order[0].sidecar == 3);
+  BOOST_TEST(order[1].sidecar == 2);
+  BOOST_TEST(order[2].sidecar == 1);
+}
+
+// Guards against a changed order where there is one data centre, or entries of
+// the previous build do not name any.
+BOOST_AUTO_TEST_CASE(OrderIsAsBeforeWithoutSeveralKnownDataCenters) {
+  const TimePoint now{seconds(100)};
+  const ServiceTag tag{7};
+  SidecarStateTable states;
+  for (InstanceAddress i = 1; i <= 20; ++i) {
+    Ack ack;
+    ack.open = true;
+    ack.expected_wait_us = (i * 7919) % 1000;
+    states.OnAck(i, ack, now);
+    states.Reserve(i % 3 + 1, now);
+  }
+  const auto list = [&](std::uint64_t own, std::uint64_t (*center)(int)) {
+    std::vector<Member> members;
+    for (InstanceAddress i = 1; i <= 20; ++i) {
+      members.push_back({i, true, center(static_cast<int>(i))});
+    }
+    CandidateSelector selector(states, own);
+    selector.ReplaceMembers(tag, members, false, now);
+    Route route;
+    route.targets.push_back({tag, 1});
+    std::vector<InstanceAddress> hops;
+    for (std::uint64_t hash = 1; hash <= 50; ++hash) {
+      for (const bool syn : {true, false}) {
+        SegmentFrame frame;
+        frame.service = tag;
+        if (syn) {
+          selector.ListForNewFlow(hash, milliseconds(300), now, frame);
+        } else {
+          selector.ListForExistingFlow(route, hash, 0, true, frame);
+        }
+        hops.insert(hops.end(), frame.hops.begin(),
+                    frame.hops.begin() + frame.hop_count);
+      }
+    }
+    return hops;
+  };
+  const auto one = [](int) { return std::uint64_t{1}; };
+  const auto none = [](int) { return std::uint64_t{0}; };
+  const auto two = [](int i) { return static_cast<std::uint64_t>(1 + i % 2); };
+  const auto some = [](int i) { return static_cast<std::uint64_t>(i % 2); };
+  const auto before = list(0, none);
+  BOOST_TEST((list(1, none) == before));
+  BOOST_TEST((list(1, one) == before));
+  BOOST_TEST((list(1, some) == before));
+  BOOST_TEST((list(0, two) == before));
+  // A balancer of a data centre without members.
+  BOOST_TEST((list(9, two) == before));
+  BOOST_TEST((list(1, two) != before));
+}
+
+// Guards against members that no group of a lookup visits: the groups are built
+// one after the other while the state of members changes.
+BOOST_AUTO_TEST_CASE(LookupVisitsEachMemberOnce) {
+  const TimePoint now{seconds(100)};
+  const ServiceTag tag{7};
+  SidecarStateTable states;
+  CandidateSelector selector(states, /*data_center=*/1);
+  std::vector<Member> members;
+  for (InstanceAddress i = 1; i <= 40; ++i) {
+    members.push_back({i, true, 1 + i % 3});
+  }
+  selector.ReplaceMembers(tag, members, false, now);
+  Route route;
+  route.targets.push_back({tag, 1});
+  for (std::uint64_t hash = 1; hash <= 20; ++hash) {
+    std::vector<InstanceAddress> visited;
+    std::size_t skip = 0;
+    while (true) {
+      SegmentFrame frame;
+      const auto covered =
+          selector.ListForExistingFlow(route, hash, skip, true, frame);
+      if (covered == 0) break;
+      skip += covered;
+      visited.insert(visited.end(), frame.hops.begin(),
+                     frame.hops.begin() + frame.hop_count);
+      Ack ack;
+      ack.open = hash % 2 == 0;
+      ack.expected_wait_us = static_cast<std::uint32_t>(skip * hash);
+      for (const auto& member : members) states.OnAck(member.sidecar, ack, now);
+    }
+    BOOST_TEST(visited.size() == members.size());
+    for (int i = 0; i < 4; ++i) BOOST_TEST(visited[i] % 3 == 0U);
+    std::sort(visited.begin(), visited.end());
+    BOOST_TEST((std::unique(visited.begin(), visited.end()) == visited.end()));
+  }
+}
+
+// Guards against a lookup that ends as certain although a change of a member's
+// data centre has moved the positions of others.
+BOOST_AUTO_TEST_CASE(ChangedDataCenterCountsAsRemoval) {
+  const TimePoint now{seconds(100)};
+  const ServiceTag tag{7};
+  SidecarStateTable states;
+  CandidateSelector selector(states, /*data_center=*/1);
+  std::vector<Member> members{{1, true, 1}, {2, true, 2}, {3, true, 2}};
+  selector.ReplaceMembers(tag, members, false, now);
+  const auto before = selector.removals();
+  members.push_back({4, true, 1});
+  selector.ReplaceMembers(tag, members, true, now);
+  BOOST_TEST(selector.removals() == before);
+  members[2].data_center = 1;
+  selector.ReplaceMembers(tag, members, true, now);
+  BOOST_TEST(selector.removals() == before + 1);
+}
+
+// Demand swings between the data centres by 0.6 of its mean, which exceeds the
+// capacity of one of them at the peaks. Guards against oscillation between data
+// centres, traffic that could have stayed local, and callers of any data centre
+// that are served worse than without knowledge of data centres.
+BOOST_AUTO_TEST_CASE(DemandWavesStayLocalAndSettle) {
+  const auto plan = MakeWaves(0.7, 0.6, seconds(30));
+  const auto results = ReplayAll(plan, kAllPolicies);
+  const auto& placed = results.at(Policy::kPlacement);
+  const auto& before = results.at(Policy::kAnyDataCenter);
+  BOOST_TEST(placed.Local() >= 0.55);
+  BOOST_TEST(placed.Local() >= 1.6 * before.Local());
+  CheckNotWorse(placed, before);
+  // The share that leaves a data centre follows its demand: it changes
+  // direction about twice in each period of 20 windows, not from window to
+  // window. A change counts if it is larger than the noise of a window of 280
+  // requests.
+  for (int center = 0; center < kDataCenters; ++center) {
+    int turns = 0;
+    double last_extreme = 0;
+    int direction = 0;
+    const auto& local = placed.local_by_window[center];
+    const auto& other = placed.other_by_window[center];
+    for (std::size_t i = 6; i + 1 < local.size(); ++i) {
+      const double share = ReplayResult::Share(other[i], local[i] + other[i]);
+      constexpr double kNoise = 0.12;
+      if (direction >= 0 && share < last_extreme - kNoise) {
+        ++turns;
+        direction = -1;
+        last_extreme = share;
+      } else if (direction <= 0 && share > last_extreme + kNoise) {
+        ++turns;
+        direction = 1;
+        last_extreme = share;
+      } else if ((direction >= 0 && share > last_extreme) ||
+                 (direction < 0 && share < last_extreme)) {
+        last_extreme = share;
+      }
+    }
+    BOOST_TEST_MESSAGE("  data centre " << center << ": " << turns
+                                        << " turns of the share that leaves");
+    BOOST_TEST(turns <= 8);
+  }
+}
+
+// A whole data centre is evacuated and taken back. Guards against callers of
+// any data centre being served worse than without knowledge of data centres,
+// and against work that doesn't come back.
+BOOST_AUTO_TEST_CASE(EvacuatedDataCenterIsReplacedAndComesBack) {
+  auto plan = MakeWaves(0.5, 0, seconds(20));
+  for (auto& upstream : plan.upstreams) {
+    if (upstream.data_center != 0) continue;
+    upstream.closed_from = seconds(6);
+    upstream.closed_until = seconds(12);
+  }
+  const auto results = ReplayAll(plan, kAllPolicies);
+  const auto& placed = results.at(Policy::kPlacement);
+  CheckNotWorse(placed, results.at(Policy::kAnyDataCenter));
+  const auto local_share = [&](int center, int from, int to) {
+    int local = 0;
+    int other = 0;
+    for (int i = 2 * from; i < 2 * to; ++i) {
+      local += placed.local_by_window[center][i];
+      other += placed.other_by_window[center][i];
+    }
+    return ReplayResult::Share(local, local + other);
+  };
+  BOOST_TEST(local_share(0, 7, 11) == 0);
+  BOOST_TEST(local_share(0, 14, 19) >= 0.9 * local_share(0, 3, 6));
+}
+
+// The upstreams of one data centre are cold and slower at first.
+BOOST_AUTO_TEST_CASE(ColdDataCenterIsRelieved) {
+  auto plan = MakeWaves(0.6, 0, seconds(12));
+  plan.measured_from = Duration{};
+  for (auto& upstream : plan.upstreams) {
+    if (upstream.data_center != 0) continue;
+    upstream.factor = 1.6;
+    upstream.later_change = 1 / 1.6;
+    upstream.changes_at = seconds(5);
+  }
+  const auto results = ReplayAll(plan, kAllPolicies);
+  CheckNotWorse(results.at(Policy::kPlacement),
+                results.at(Policy::kAnyDataCenter));
+}
+
+// Acknowledgements are late by 400 ms and a third of them is lost.
+BOOST_AUTO_TEST_CASE(StaleReports) {
+  const auto plan = MakeWaves(0.6, 0.4, seconds(15));
+  ReplayFaults faults;
+  faults.lost_acks = 0.33;
+  faults.ack_delay = milliseconds(400);
+  const auto results = ReplayAll(plan, kAllPolicies, faults);
+  const auto& placed = results.at(Policy::kPlacement);
+  CheckNotWorse(placed, results.at(Policy::kAnyDataCenter));
+  BOOST_TEST(placed.InTarget() >= results.at(Policy::kHashOnly).InTarget());
+}
+
+// One sidecar always reports no wait and 65,535 free slots. Guards against all
+// connections going there.
+BOOST_AUTO_TEST_CASE(ImplausibleReportsDoNotAttractTheLoad) {
+  const auto plan = MakeWaves(0.6, 0, seconds(10));
+  ReplayFaults faults;
+  faults.implausible = 0;
+  const auto results = ReplayAll(plan, kAllPolicies, faults);
+  const auto& placed = results.at(Policy::kPlacement);
+  CheckNotWorse(placed, results.at(Policy::kAnyDataCenter));
+  BOOST_TEST(placed.BusiestOverMean() <= 2);
+}
+
+// Half of the members are of the previous build, whose entries name no data
+// centre.
+BOOST_AUTO_TEST_CASE(EntriesOfThePreviousBuild) {
+  const auto plan = MakeWaves(0.6, 0.4, seconds(15));
+  ReplayFaults faults;
+  faults.first_without_data_center = kDataCenters * kUpstreamsEach / 2;
+  const auto results = ReplayAll(plan, kAllPolicies, faults);
+  const auto& placed = results.at(Policy::kPlacement);
+  CheckNotWorse(placed, results.at(Policy::kAnyDataCenter));
+  BOOST_TEST(placed.Local() >= results.at(Policy::kAnyDataCenter).Local());
+}
+
+}  // namespace cowslip::segment::test
