segment: long-lived flows go where the most capacity is left over

A flow that brings load for a minute counted like a single request: the first upstream with a free slot took it. FlowLoadModel learns beside the upstream, by service address, how many requests a flow carries and how many slots an open flow occupies. Where flows usually carry four requests or more, the first four candidates of a SYN compare the mean service time over the slots that their open flows leave, and the one with the most left over takes it. There is no new message: the wait in the frame carries the comparison, and sidecars of earlier builds take part with their time to the answer.

--- a/packages/cost/include/cowslip/cost/cost_model.h
+++ b/packages/cost/include/cowslip/cost/cost_model.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <chrono>
-#include <cstddef>
 #include <vector>
 
 #include "cowslip/base.h"
+#include "cowslip/cost/service_table.h"
 #include "cowslip/cost/service_times.h"
 
 namespace cowslip::cost {
@@ -17,15 +17,11 @@
 /// upstreams by the routes that they happened to serve last.
 class CostModel {
  public:
-  /// Service addresses with a distribution of their own. Further ones share
-  /// one.
-  static constexpr std::size_t kMaxServices = 16;
   /// Service time assumed before the first response.
   static constexpr std::chrono::milliseconds kInitialServiceTime{20};
 
   /// What was learned of one service address.
   struct Service {
-    Endpoint address;  ///< Zero for those that share a distribution.
     ServiceTimes recent;
     LatencyHistogram all;  ///< Since the start, for metrics.
   };
@@ -44,14 +40,12 @@
   /// `elapsed`.
   Duration ExpectedRemaining(const Endpoint& address, Duration elapsed) const;
   /// @return what was learned, by service address.
-  const std::vector<Service>& services() const { return services_; }
+  const std::vector<ServiceTable<Service>::Row>& services() const {
+    return services_.rows();
+  }
 
  private:
-  const Service* Find(const Endpoint& address) const;
-  Service& FindOrAdd(const Endpoint& address);
-
-  /// At most kMaxServices, and one for all further addresses.
-  std::vector<Service> services_;
+  ServiceTable<Service> services_;
   ServiceTimes all_;
   Duration loaded_time_{};
 };
--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -13,6 +13,7 @@
 #include "cowslip/segment/frame.h"                    // IWYU pragma: export
 #include "cowslip/segment/load_estimator.h"           // IWYU pragma: export
 #include "cowslip/segment/locality.h"                 // IWYU pragma: export
+#include "cowslip/segment/long_flow.h"                // IWYU pragma: export
 #include "cowslip/segment/member.h"                   // IWYU pragma: export
 #include "cowslip/segment/observer.h"                 // IWYU pragma: export
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/load_estimator.h
+++ b/packages/segment/include/cowslip/segment/load_estimator.h
@@ -13,8 +13,9 @@
 
 /// Start of a request at an upstream.
 struct RequestStart {
-  std::uint64_t number = 0;  ///< Counts the requests of one estimator.
-  Endpoint service;          ///< Address that the request was sent to.
+  std::uint64_t number = 0;   ///< Counts the requests of one estimator.
+  Endpoint service;           ///< Address that the request was sent to.
+  std::uint32_t on_flow = 1;  ///< Number of the request on its flow.
   TimePoint arrival{};
   /// Time until the answer that was expected at the arrival.
   std::chrono::microseconds expected{};
@@ -45,7 +46,11 @@
     if (expected_requests_ > 0) --expected_requests_;
   }
   /// A request was sent to the upstream.
-  RequestStart OnStarted(TimePoint now, const Endpoint& service = {});
+  /// @param on_flow number of the request on its flow, from 1.
+  RequestStart OnStarted(TimePoint now, const Endpoint& service = {},
+                         std::uint32_t on_flow = 1);
+  /// The flow of a request, its latest one, has ended.
+  void OnFlowEnded(const RequestStart& request, TimePoint now);
   /// A request was answered. Its service time counts from the time at which it
   /// got a slot, so that an upstream that became slow is noticed also while
   /// every request has to queue.
@@ -93,6 +98,13 @@
   std::chrono::microseconds AnswerTime() const {
     return AnswerTime(last_update_);
   }
+  /// @return for a service address whose flows usually carry many requests, the
+  /// order in which upstreams are preferred for one more flow: the mean service
+  /// time over the slots that the open flows leave, so that the upstream with
+  /// the most requests per second left over comes first. std::nullopt for other
+  /// addresses.
+  std::optional<std::chrono::microseconds> WaitOfLongFlow(
+      TimePoint now, const Endpoint& service);
   /// @return the expected remaining service times of the requests in progress,
   /// and the means of those that wait or are expected.
   std::chrono::microseconds OutstandingWork(TimePoint now) const;
@@ -118,6 +130,9 @@
 
   std::uint32_t slots_ = 1;
   cost::CostModel model_;
+  cost::FlowLoadModel flow_loads_;
+  /// Number of the last request before the upstream was replaced.
+  std::uint64_t last_before_reset_ = 0;
   /// Requests in progress, in the order of arrival.
   std::vector<RequestStart> requests_;
   std::uint64_t started_requests_ = 0;
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -11,6 +11,7 @@
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/frame_ring.h"
 #include "cowslip/segment/load_estimator.h"
+#include "cowslip/segment/long_flow.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/pending_query.h"
@@ -133,7 +134,11 @@
   Ownership OwnershipOf(const FlowEntry* entry, const Segment& segment,
                         TimePoint now) const;
   /// @return whether the upstream is known to run.
-  bool UpstreamIsAlive() const;
+  bool UpstreamIsAlive() const {
+    const auto state = upstream_state_.state();
+    return !liveness_.is_missing() &&
+           (state == Lifecycle::kAccepting || state == Lifecycle::kDraining);
+  }
   /// @return whether the upstream may own flows that are missing from the flow
   /// table.
   bool UpstreamMayOwnUnseenFlows(TimePoint now) const;
--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -16,6 +16,13 @@
 /// has cost as much as one that is answered in time. Without it, the goodput of
 /// overload_test falls to 0.86 of the oracle's at twice the service time.
 constexpr double kQueueMargin = 1.25;
+/// Slots that count as left over at least, so that upstreams without any are
+/// still ordered by speed.
+constexpr double kMinSlots = 0.05;
+/// Slots at which the wait of a long-lived flow equals the mean service time if
+/// all are left over, so that sidecars of the previous build, which report the
+/// time to the answer, are comparable.
+constexpr double kUsualSlots = 2;
 
 std::chrono::microseconds ToMicroseconds(double seconds) {
   constexpr double kMaxSeconds = 60;
@@ -32,11 +39,14 @@
   last_update_ = now;
 }
 
-RequestStart LoadEstimator::OnStarted(TimePoint now, const Endpoint& service) {
+RequestStart LoadEstimator::OnStarted(TimePoint now, const Endpoint& service,
+                                      std::uint32_t on_flow) {
   Update(now);
+  flow_loads_.OnRequest(service, on_flow, now);
   RequestStart request;
   request.number = ++started_requests_;
   request.service = service;
+  request.on_flow = on_flow;
   request.arrival = now;
   request.expected = AnswerTime(now, service);
   if (in_progress() >= slots_) {
@@ -73,7 +83,14 @@
   const auto start = ServiceStart(request);
   if (!Remove(request, now)) return;
   RecordError(request, now);
-  if (start) model_.OnServed(request.service, now - *start);
+  if (!start) return;
+  model_.OnServed(request.service, now - *start);
+  flow_loads_.OnServed(request.service, now - *start, now);
+}
+
+void LoadEstimator::OnFlowEnded(const RequestStart& request, TimePoint now) {
+  if (request.number <= last_before_reset_) return;
+  flow_loads_.OnFlowEnded(request.service, request.on_flow, now);
 }
 
 void LoadEstimator::OnRequestAborted(const RequestStart& request,
@@ -89,6 +106,8 @@
   Update(now);
   requests_.clear();
   expected_requests_ = 0;
+  flow_loads_.Reset(now);
+  last_before_reset_ = started_requests_;
 }
 
 void LoadEstimator::RecordError(const RequestStart& request, TimePoint now) {
@@ -154,6 +173,14 @@
                         ServiceSeconds(service));
 }
 
+std::optional<std::chrono::microseconds> LoadEstimator::WaitOfLongFlow(
+    TimePoint now, const Endpoint& service) {
+  if (!flow_loads_.IsLongLived(service)) return std::nullopt;
+  const double left =
+      std::max(slots_ - flow_loads_.SlotsWithOneMore(service, now), kMinSlots);
+  return ToMicroseconds(ServiceSeconds(service) * kUsualSlots / left);
+}
+
 std::chrono::microseconds LoadEstimator::OutstandingWork(TimePoint now) const {
   return ToMicroseconds(OutstandingSeconds(now));
 }
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -49,12 +49,6 @@
   return unseen_flows_.MayExist(now);
 }
 
-bool Sidecar::UpstreamIsAlive() const {
-  const auto state = upstream_state_.state();
-  return !liveness_.is_missing() &&
-         (state == Lifecycle::kAccepting || state == Lifecycle::kDraining);
-}
-
 void Sidecar::OnFrame(SegmentFrame frame, const Segment& segment,
                       ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.frames;
@@ -97,9 +91,11 @@
     Forward(frame, segment, packet, now, out);
     return;
   }
-  const AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
-                             load_.AnswerTime(now, segment.flow.service)};
-  const auto admission = DecideAdmission(state, frame.time_left);
+  AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
+                       load_.AnswerTime(now, segment.flow.service)};
+  const auto admission =
+      CompareLongFlow(load_, segment.flow.service, now,
+                      DecideAdmission(state, frame.time_left), state, frame);
   // Without a latency target, the choice of the others is final.
   const bool chosen =
       frame.forced && (admission == Admission::kCandidate || !frame.time_left);
@@ -252,7 +248,7 @@
     load_.OnExpectedRequestEnded();
   }
   entry.request_in_progress = true;
-  entry.request = load_.OnStarted(now, segment.flow.service);
+  entry.request = load_.OnStarted(now, segment.flow.service, ++entry.requests);
 }
 
 void Sidecar::EndRequest(FlowEntry& entry, TimePoint now) {
@@ -266,6 +262,8 @@
 void Sidecar::ReleaseLoad(FlowEntry& entry, TimePoint now) {
   if (entry.awaiting_first_request) load_.OnExpectedRequestEnded();
   if (entry.request_in_progress) load_.OnRequestAborted(entry.request, now);
+  if (entry.requests > 0) load_.OnFlowEnded(entry.request, now);
+  entry.requests = 0;
   entry.awaiting_first_request = false;
   entry.request_in_progress = false;
 }
--- a/tests/cost_test.cc
+++ b/tests/cost_test.cc
@@ -97,11 +97,57 @@
   for (std::uint16_t port = 1; port <= 200; ++port) {
     model.OnServed(MakeAddress(port), milliseconds(port <= 16 ? 10 : 50));
   }
-  BOOST_TEST(model.services().size() == CostModel::kMaxServices + 1);
+  BOOST_TEST(model.services().size() == 17U);
   BOOST_TEST(Milliseconds(model.Mean(MakeAddress(16))) == 10,
              boost::test_tools::tolerance(1e-6));
   BOOST_TEST(Milliseconds(model.Mean(MakeAddress(150))) == 50,
              boost::test_tools::tolerance(1e-6));
 }
 
+// Guards against flows of one request that are placed like long-lived ones, and
+// against decisions on a few requests.
+BOOST_AUTO_TEST_CASE(LongLivedFlowsAreLearnedByAddress) {
+  FlowLoadModel model;
+  TimePoint now{seconds(100)};
+  BOOST_TEST(!model.IsLongLived(kUrgent));
+  for (int flow = 0; flow < 20; ++flow) {
+    model.OnRequest(kUrgent, 1, now);
+    model.OnFlowEnded(kUrgent, 1, now);
+  }
+  for (std::uint32_t request = 1; request <= 10; ++request) {
+    BOOST_TEST(model.IsLongLived(kBulk) == (request > 8));
+    model.OnRequest(kBulk, request, now);
+  }
+  BOOST_TEST(!model.IsLongLived(kUrgent));
+  BOOST_TEST(!model.IsLongLived(MakeAddress(1)));
+  // Many flows that have just been opened don't make the address look short.
+  for (int flow = 0; flow < 50; ++flow) model.OnRequest(kBulk, 1, now);
+  BOOST_TEST(model.IsLongLived(kBulk));
+  // They do once they have ended after one request each.
+  for (int flow = 0; flow < 50; ++flow) model.OnFlowEnded(kBulk, 1, now);
+  BOOST_TEST(!model.IsLongLived(kBulk));
+}
+
+// Guards against a new flow counting as free, and flows that ended as load.
+BOOST_AUTO_TEST_CASE(OpenFlowsOccupySlots) {
+  FlowLoadModel model;
+  TimePoint now{seconds(100)};
+  // Two flows, each with a request of 50 ms in 200 ms.
+  for (std::uint32_t request = 1; request <= 100; ++request) {
+    for (int flow = 0; flow < 2; ++flow) {
+      model.OnRequest(kBulk, request, now);
+      model.OnServed(kBulk, milliseconds(50), now);
+    }
+    now += milliseconds(200);
+  }
+  BOOST_TEST(model.SlotsWithOneMore(kBulk, now) == 0.75,
+             boost::test_tools::tolerance(0.03));
+  model.OnFlowEnded(kBulk, 100, now);
+  BOOST_TEST(model.SlotsWithOneMore(kBulk, now) == 0.5,
+             boost::test_tools::tolerance(0.03));
+  model.Reset(now);
+  BOOST_TEST(model.SlotsWithOneMore(kBulk, now) == 0.25,
+             boost::test_tools::tolerance(0.03));
+}
+
 }  // namespace cowslip::cost
--- a/tests/segment/load_estimator_test.cc
+++ b/tests/segment/load_estimator_test.cc
@@ -80,4 +80,39 @@
   BOOST_TEST(load.ErrorRatio() == 1, boost::test_tools::tolerance(0.02));
 }
 
+// Guards against a long-lived flow going to the first upstream with a free slot
+// although another one has more left over.
+BOOST_AUTO_TEST_CASE(LongFlowsAreComparedByWhatIsLeftOver) {
+  LoadEstimator load;
+  load.SetSlots(2);
+  SegmentFrame frame;
+  frame.hop_count = 12;
+  const auto compare = [&](TimePoint now) {
+    AdmissionState state{.has_free_slot = true, .can_queue = true};
+    state.answer_time = load.AnswerTime(now, kService);
+    return CompareLongFlow(load, kService, now, Admission::kAccept, state,
+                           frame);
+  };
+  // Nothing is known of the address.
+  BOOST_TEST((compare(kStart) == Admission::kAccept));
+  auto now = kStart;
+  for (std::uint32_t i = 1; i <= 20; ++i) {
+    const auto request = load.OnStarted(now, kService, i);
+    now += milliseconds(50);
+    load.OnResponse(request, now);
+  }
+  // One flow occupies one slot all the time, a second one would take the other.
+  const auto wait = load.WaitOfLongFlow(now, kService);
+  BOOST_REQUIRE(wait.has_value());
+  BOOST_TEST((*wait > milliseconds(500)));
+  BOOST_TEST((compare(now) == Admission::kCandidate));
+  BOOST_TEST(frame.hop_count == 12);
+  // The fourth one ends the comparison.
+  frame.place = 3;
+  BOOST_TEST((compare(now) == Admission::kCandidate));
+  BOOST_TEST(frame.hop_count == 4);
+  frame.forced = true;
+  BOOST_TEST((compare(now) == Admission::kAccept));
+}
+
 }  // namespace cowslip::segment
--- a/tests/segment/load_plan.cc
+++ b/tests/segment/load_plan.cc
@@ -39,8 +39,13 @@
   for (auto at = ToDuration(Gap(rate)); at < length;
        at += ToDuration(Gap(rate))) {
     PlannedFlow flow{at, center(random_), kPort, {}};
+    // At even distances, the moment of the first request would tell when all
+    // others come.
+    std::uniform_real_distribution<double> jitter(0.2, 1.8);
+    Duration after_open{};
     for (int i = 0; i < requests; ++i) {
-      flow.requests.push_back({i * distance, cost_(random_)});
+      flow.requests.push_back({after_open, cost_(random_)});
+      after_open += ToDuration(jitter(random_) * distance);
     }
     plan.flows.push_back(std::move(flow));
   }
--- a/tests/segment/load_plan.h
+++ b/tests/segment/load_plan.h
@@ -61,7 +61,8 @@
   /// @param peak upper limit of all rates.
   void Add(LoadPlan& plan, Duration length, double peak,
            const std::function<double(int data_center, Duration at)>& rate);
-  /// Adds flows that send several requests at even distances.
+  /// Adds flows that send several requests.
+  /// @param distance mean time between them.
   void AddLong(LoadPlan& plan, Duration length, double rate, int requests,
                Duration distance);
 
--- a/tests/segment/load_replay.cc
+++ b/tests/segment/load_replay.cc
@@ -278,7 +278,7 @@
           return a.committed * FactorOf(a.plan) / a.plan.slots <
                  b.committed * FactorOf(b.plan) / b.plan.slots;
         });
-    least->committed += requests.size();
+    least->committed += static_cast<double>(requests.size());
     return static_cast<int>(least - servers_.begin());
   }
   int best = -1;
@@ -322,10 +322,12 @@
       Forward(attempt, frame);
       return;
     }
-    const AdmissionState state{
+    AdmissionState state{
         server.load->HasFreeSlot(), server.load->CanQueue(),
         server.load->AnswerTime(now_, AddressOf(*attempt.flow))};
-    const auto admission = DecideAdmission(state, frame.time_left);
+    const auto admission =
+        CompareLongFlow(*server.load, AddressOf(*attempt.flow), now_,
+                        DecideAdmission(state, frame.time_left), state, frame);
     const bool chosen = frame.forced && admission == Admission::kCandidate;
     if (admission == Admission::kAccept || chosen) {
       server.load->OnRequestExpected();
@@ -423,7 +425,9 @@
     OccupySlot(server, request.flow->requests[request.index].cost);
     server.committed -= 1;
   }
-  request.start = server.load->OnStarted(now_, AddressOf(*request.flow));
+  request.start =
+      server.load->OnStarted(now_, AddressOf(*request.flow),
+                             static_cast<std::uint32_t>(request.index + 1));
   if (server.busy < server.plan.slots) {
     Serve(upstream, request);
   } else if (server.queue.size() < kQueue) {
@@ -441,6 +445,9 @@
   After(ToDuration(cost * FactorOf(server.plan)), [this, upstream, request] {
     auto& done = servers_[upstream];
     done.load->OnResponse(request.start, now_);
+    if (request.index + 1 == request.flow->requests.size()) {
+      done.load->OnFlowEnded(request.start, now_);
+    }
     --done.busy;
     Finish(upstream, request, true);
     if (done.queue.empty()) return;
--- a/tests/segment/placement_test.cc
+++ b/tests/segment/placement_test.cc
@@ -394,7 +394,8 @@
   BOOST_TEST(lost.at(Policy::kPlacement).InTarget() >= kept.InTarget() - 0.005);
 }
 
-// Long-lived flows that send 40 requests each beside flows of one request.
+// Long-lived flows that send 40 requests each beside flows of one request, at
+// upstreams of two speeds.
 BOOST_AUTO_TEST_CASE(LongAndShortFlows) {
   auto plan = MakePlan(1, 48);
   for (std::size_t i = 0; i < plan.upstreams.size(); ++i) {
@@ -407,7 +408,37 @@
                 [&](int, Duration) { return rate / 2; });
   generator.AddLong(plan, seconds(20), rate / 2 / kRequests, kRequests,
                     milliseconds(150));
-  ReplayAll(plan, kAllPolicies);
+  CheckBesideBaselines(ReplayAll(plan, kAllPolicies));
+}
+
+// Long-lived flows that are opened within two seconds, as after a loss of
+// balancers, and bring four fifths of the load from then on. Guards against
+// upstreams that get more of them than they can serve.
+BOOST_AUTO_TEST_CASE(LongFlowsOpenedAtTheSameTime) {
+  auto plan = MakePlan(1, 48);
+  plan.measured_from = seconds(9);
+  const double rate = 0.7 * CapacityOf(plan);
+  constexpr int kRequests = 30;
+  constexpr double kShareOfLong = 0.8;
+  constexpr milliseconds kDistance{500};
+  FlowGenerator generator(kSeed, DrawEven);
+  generator.Add(plan, seconds(20), rate, [&](int, Duration at) {
+    return at < seconds(6) ? rate / 2 : rate * (1 - kShareOfLong);
+  });
+  // Flows before, from which each upstream learns the load of a flow.
+  generator.AddLong(plan, seconds(4), 80, kRequests / 3, kDistance);
+  const double flows =
+      rate * kShareOfLong * std::chrono::duration<double>(kDistance).count();
+  LoadPlan burst;
+  generator.AddLong(burst, seconds(2), flows / 2, kRequests, kDistance);
+  for (auto& flow : burst.flows) {
+    flow.opens_at += seconds(6);
+    plan.flows.push_back(flow);
+  }
+  std::stable_sort(
+      plan.flows.begin(), plan.flows.end(),
+      [](const auto& a, const auto& b) { return a.opens_at < b.opens_at; });
+  CheckBesideBaselines(ReplayAll(plan, kAllPolicies));
 }
 
 // Two routes to the same upstreams, one of which costs eight times as much.
