segment: a request that is never answered loses its weight after 10 s

The expected remaining time of a request grows with its age, so an upstream that has dropped one would be avoided until the flow's record expires after 120 s. After 10 s, longer than any time limit, such a request counts with the mean; it still holds its slot.

--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -11,6 +11,10 @@
 
 /// Service time of an upstream that is warming up, relative to a warm one.
 constexpr double kWarmupFactor = 1.6;
+/// Time after which a request is not expected to be answered: its caller has
+/// given up, and the upstream may have dropped it. It still holds a slot, but
+/// its upstream is not avoided for its age any more.
+constexpr std::chrono::seconds kMaxRequestTime{10};
 /// What is added to the expected time in the queue for an admission. The
 /// estimate is a mean, and a request that is answered shortly after its target
 /// has cost as much as one that is answered in time. Without it, the goodput of
@@ -132,6 +136,7 @@
   const auto start = ServiceStart(request);
   if (!start) return ServiceSeconds(request.service);
   const auto elapsed = std::max(now - *start, Duration::zero());
+  if (elapsed > kMaxRequestTime) return ServiceSeconds(request.service);
   return Seconds(model_.ExpectedRemaining(request.service, elapsed)).count() *
          (warming_up_ ? kWarmupFactor : 1.0);
 }
--- a/tests/segment/load_estimator_test.cc
+++ b/tests/segment/load_estimator_test.cc
@@ -41,6 +41,17 @@
   BOOST_TEST((load.ExpectedWait(now + milliseconds(60), kService) > 2 * fresh));
 }
 
+// Guards against an upstream that is avoided until the flow ends, because of a
+// request that it has dropped.
+BOOST_AUTO_TEST_CASE(RequestThatIsNeverAnsweredLosesItsWeight) {
+  auto load = MakeTrained(2);
+  const auto now = kStart + seconds(1);
+  const auto idle = load.ExpectedWait(now, kService);
+  load.OnStarted(now, kService);
+  BOOST_TEST((load.ExpectedWait(now + seconds(9), kService) > seconds(4)));
+  BOOST_TEST((load.ExpectedWait(now + seconds(11), kService) < 2 * idle));
+}
+
 // Guards against a long request in one slot hiding that the other one is soon
 // free.
 BOOST_AUTO_TEST_CASE(AnswerTimeFollowsTheFirstFreeSlot) {
