--- a/benchmarks/placement_benchmark.cc
+++ b/benchmarks/placement_benchmark.cc
@@ -43,7 +43,7 @@
   }
   std::uint64_t hash = 1;
   const auto allocations = AllocationCount();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     SegmentFrame frame;
     frame.service = kService;
     hash = hash * 0x9E3779B97F4A7C15 + 1;
@@ -77,7 +77,7 @@
   }
   auto now = kNow;
   const auto allocations = AllocationCount();
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     now += std::chrono::microseconds(1);
     benchmark::DoNotOptimize(load.ExpectedWait(now, kAddress));
     benchmark::DoNotOptimize(load.AnswerTime(now, kAddress));
@@ -93,7 +93,7 @@
   LoadEstimator load;
   load.SetSlots(3);
   auto now = kNow;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const auto request = load.OnStarted(now, kAddress);
     now += std::chrono::milliseconds(20);
     load.OnResponse(request, now);
