--- a/tests/segment/placement_test.cc
+++ b/tests/segment/placement_test.cc
@@ -16,9 +16,14 @@
 
 constexpr std::uint64_t kSeed = 20261206;
 constexpr double kMeanCost = 0.04;
+constexpr Endpoint kAddress{0xC6120001, 443};
 constexpr int kDataCenters = 3;
 constexpr int kUpstreamsEach = 16;
 
+class NullObserver final : public Observer {
+  void OnDecision(const FlowDecision&) override {}
+};
+
 /// Three in a hundred requests cost seven times as much as the others.
 std::chrono::duration<double> DrawHeavyTail(std::mt19937_64& random) {
   constexpr double kShare = 0.03;
@@ -295,6 +300,112 @@
   BOOST_TEST(selector.removals() == before + 1);
 }
 
+// Guards against a balancer that does not use its data centre, sends several
+// connections in a row to one member, or counts placements wrongly.
+BOOST_AUTO_TEST_CASE(BalancerPrefersItsDataCenter) {
+  const TimePoint now{seconds(100)};
+  NullObserver observer;
+  Balancer balancer(1000, observer, now, DataCenterTag("lima"));
+  auto routes = std::make_shared<RouteTable>();
+  routes->version = 1;
+  auto& route = routes->routes[kAddress];
+  route.targets.push_back({TagOf("vault"), 1});
+  route.latency_target = milliseconds(300);
+  balancer.SetRoutes(routes, true, now);
+  std::vector<Member> members;
+  for (InstanceAddress i = 0; i < 12; ++i) {
+    members.push_back(
+        {2000 + i, true, DataCenterTag(i % 3 == 0 ? "lima" : "quito")});
+  }
+  balancer.SetMembers(TagOf("vault"), members, now);
+  std::map<InstanceAddress, int> first_hops;
+  for (std::uint16_t port = 1; port <= 40; ++port) {
+    Outbox out;
+    Segment syn;
+    syn.flow = {{0x64400001, port}, kAddress};
+    syn.syn = true;
+    balancer.OnPacket(syn, Bytes(20), now, out);
+    BOOST_REQUIRE(out.effects().size() == 1);
+    const auto hop = out.effects()[0].instance;
+    ++first_hops[hop];
+    Ack ack;
+    ack.verdict = AckStatus::kAccepted;
+    ack.syn = true;
+    ack.open = true;
+    ack.flow = syn.flow;
+    // Three quarters of the acknowledgements have not arrived yet.
+    if (port % 4 == 0) balancer.OnAck(hop, ack, now, out);
+  }
+  // Each connection is offered to one of the four local members, evenly.
+  BOOST_TEST(first_hops.size() == 4);
+  for (const auto& [hop, count] : first_hops) {
+    BOOST_TEST(hop % 3 == 2000 % 3);
+    BOOST_TEST(count <= 14);
+  }
+  using enum Locality;
+  BOOST_TEST(balancer.stats().placements.Of(kOwn) == 10U);
+  BOOST_TEST(balancer.stats().placements.Of(kOther) == 0U);
+  BOOST_TEST(balancer.stats().placements.Of(kUnknown) == 0U);
+}
+
+// Guards against a sidecar that takes each long-lived flow at its first free
+// slot, and against other flows being passed on.
+BOOST_AUTO_TEST_CASE(SidecarComparesLongLivedFlows) {
+  TimePoint now{seconds(100)};
+  NullObserver observer;
+  constexpr InstanceAddress kSelf = 2000;
+  Sidecar sidecar(kSelf, TagOf("vault"), observer, ProcessStart{now, {}});
+  sidecar.OnReport({.id = "a", .sequence = 1, .slots = 2}, now);
+  SegmentFrame frame;
+  frame.service = TagOf("vault");
+  frame.balancer = 1000;
+  frame.time_left = milliseconds(300);
+  frame.hop_count = 6;
+  for (std::uint8_t i = 0; i < 6; ++i) frame.hops[i] = kSelf + i;
+  const auto open = [&](std::uint16_t port) {
+    Outbox out;
+    Segment syn;
+    syn.flow = {{0x64400001, port}, kAddress};
+    syn.syn = true;
+    sidecar.OnFrame(frame, syn, Bytes(20), now, out);
+    return std::any_of(out.effects().begin(), out.effects().end(),
+                       [](const auto& effect) {
+                         return effect.kind == EffectKind::kSendToUpstream;
+                       });
+  };
+  Segment answer;
+  answer.flow = {{0x64400001, 1}, kAddress};
+  answer.ack_flag = true;
+  Segment request = answer;
+  const auto exchange = [&](int requests) {
+    for (int i = 0; i < requests; ++i) {
+      Outbox out;
+      request.length = 100;
+      sidecar.OnFrame(frame, request, Bytes(120), now, out);
+      request.seq += 100;
+      now += milliseconds(20);
+      answer.length = 600;
+      sidecar.OnUpstreamPacket(answer, Bytes(620), now, out);
+      answer.seq += 600;
+    }
+  };
+  BOOST_REQUIRE(open(1));
+  Segment syn_ack;
+  syn_ack.flow = {{0x64400001, 1}, kAddress};
+  syn_ack.syn = true;
+  syn_ack.ack_flag = true;
+  Outbox out;
+  sidecar.OnUpstreamPacket(syn_ack, Bytes(20), now, out);
+  exchange(6);
+  BOOST_TEST(sidecar.stats().request_time.sum().count() == 120'000'000);
+  BOOST_TEST(open(2));
+  exchange(6);
+  BOOST_TEST(!open(3));
+  // The choice of the others is final.
+  frame.forced = true;
+  BOOST_TEST(open(4));
+}
+
 // Demand swings between the data centres by 0.6 of its mean, which exceeds the
 // capacity of one of them at the peaks. Guards against oscillation between data
 // centres, traffic that could have stayed local, and callers of any data centre
