--- a/tests/cost_test.cc
+++ b/tests/cost_test.cc
@@ -47,8 +47,9 @@
 // Guards against a change of speed that is noticed late.
 BOOST_AUTO_TEST_CASE(HalfOfTheWeightIsFromTheLastSecondUnderLoad) {
   ServiceTimes times;
-  for (int i = 0; i < 5000; ++i)
+  for (int i = 0; i < 5000; ++i) {
     times.Add(milliseconds(10), milliseconds(2 * i));
+  }
   for (int i = 0; i < 500; ++i) {
     times.Add(milliseconds(100), seconds(10) + milliseconds(2 * i));
   }
--- a/tests/segment/load_replay.cc
+++ b/tests/segment/load_replay.cc
@@ -193,10 +193,11 @@
 }
 
 void LoadReplay::Open(Attempt attempt) {
-  attempt.edge = static_cast<std::size_t>(
-      attempt.flow->data_center +
-      plan_->data_centers *
-          static_cast<int>(attempt.hash % plan_->balancers_per_data_center));
+  const auto centers = static_cast<std::size_t>(plan_->data_centers);
+  const auto each =
+      attempt.hash % static_cast<std::size_t>(plan_->balancers_per_data_center);
+  attempt.edge =
+      static_cast<std::size_t>(attempt.flow->data_center) + centers * each;
   auto& edge = edges_[attempt.edge];
   if (!IsLibrary(policy_)) {
     Accept(attempt, Choose(edge, attempt));
