--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -49,12 +49,6 @@
   return unseen_flows_.MayExist(now);
 }
 
-bool Sidecar::UpstreamIsAlive() const {
-  const auto state = upstream_state_.state();
-  return !liveness_.is_missing() &&
-         (state == Lifecycle::kAccepting || state == Lifecycle::kDraining);
-}
-
 void Sidecar::OnFrame(SegmentFrame frame, const Segment& segment,
                       ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.frames;
@@ -97,9 +91,11 @@
     Forward(frame, segment, packet, now, out);
     return;
   }
-  const AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
-                             load_.AnswerTime()};
-  const auto admission = DecideAdmission(state, frame.time_left);
+  AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
+                       load_.AnswerTime(now, segment.flow.service)};
+  const auto admission =
+      CompareLongFlow(load_, segment.flow.service, now,
+                      DecideAdmission(state, frame.time_left), state, frame);
   // Without a latency target, the choice of the others is final.
   const bool chosen =
       frame.forced && (admission == Admission::kCandidate || !frame.time_left);
@@ -252,7 +248,7 @@
     load_.OnExpectedRequestEnded();
   }
   entry.request_in_progress = true;
-  entry.request = load_.OnStarted(now);
+  entry.request = load_.OnStarted(now, segment.flow.service, ++entry.requests);
 }
 
 void Sidecar::EndRequest(FlowEntry& entry, TimePoint now) {
@@ -265,7 +261,9 @@
 /// Removes the requests of a flow from the load estimate.
 void Sidecar::ReleaseLoad(FlowEntry& entry, TimePoint now) {
   if (entry.awaiting_first_request) load_.OnExpectedRequestEnded();
-  if (entry.request_in_progress) load_.OnRequestAborted(now);
+  if (entry.request_in_progress) load_.OnRequestAborted(entry.request, now);
+  if (entry.requests > 0) load_.OnFlowEnded(entry.request, now);
+  entry.requests = 0;
   entry.awaiting_first_request = false;
   entry.request_in_progress = false;
 }
@@ -485,8 +483,8 @@
   Ack ack;
   ack.verdict = status;
   ack.syn = segment.is_syn();
-  FillState(ack, now);
   ack.flow = segment.flow;
+  FillState(ack, now);
   ack.caller_ack = segment.ack;
   ack.next = next;
   ack.overloaded = frame.overloaded;
@@ -496,8 +494,8 @@
 void Sidecar::FillState(Ack& ack, TimePoint now) {
   ack.open = open();
   ack.config = newest_config_;
-  ack.expected_wait_us =
-      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
+  ack.expected_wait_us = static_cast<std::uint32_t>(
+      load_.ExpectedWait(now, ack.flow.service).count());
   ack.free_slots = open() ? static_cast<std::uint16_t>(load_.free_slots()) : 0;
 }
 
