Tests: each fake upstream has sequence numbers of its own

Cause: all fake upstreams began at the same number, so two that answered copies of one SYN both took the caller's next packet for the end of their handshake, and a restart of the one that the caller had not chosen counted as the reset of an owned flow. A SYN-ACK carries the server's own number.

Change: the simulation gives each upstream another first number.

--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -21,6 +21,10 @@
     std::uint32_t slots = 2;
     std::uint32_t queue = 8;
     std::chrono::milliseconds service_time{20};
+    /// Sequence number of its first SYN-ACK. Each server has numbers of its
+    /// own, by which a caller chooses one of two that answered copies of its
+    /// SYN.
+    std::uint32_t first_seq = 1000;
   };
   /// Callbacks into the simulation: network and timers.
   struct Output {
@@ -38,7 +42,9 @@
   };
 
   FakeUpstream(const Options& options, Output output)
-      : options_(options), output_(std::move(output)) {}
+      : options_(options),
+        output_(std::move(output)),
+        next_seq_(options.first_seq) {}
 
   void OnPacket(const Segment& segment, std::uint32_t token);
   /// Loses all flows and doesn't respond until Restart().
@@ -77,7 +83,7 @@
   std::uint32_t busy_ = 0;
   std::deque<FlowKey> queue_;
   std::map<FlowKey, Flow> flows_;
-  std::uint32_t next_seq_ = 1000;
+  std::uint32_t next_seq_;
   int started_requests_ = 0;
   int refused_ = 0;
   int not_owned_ = 0;
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -5,6 +5,9 @@
 namespace cowslip::segment::test {
 namespace {
 
+/// Distance between the first sequence numbers of two upstreams.
+constexpr std::uint32_t kSeqOffset = 1U << 20;
+
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
@@ -81,7 +84,9 @@
     After(delay, std::move(run));
   };
   output.draw_service_time = draw_service_time_;
-  host->upstream = std::make_unique<FakeUpstream>(options, output);
+  auto upstream_options = options;
+  upstream_options.first_seq += static_cast<std::uint32_t>(index) * kSeqOffset;
+  host->upstream = std::make_unique<FakeUpstream>(upstream_options, output);
   host->upstream_started = now_;
   RestartSidecar(index);
 }
