packages/scheduling: order and slots of the requests of one upstream

Requests on open flows waited in the upstream's own queue, which serves them as they come, so urgent ones were served worse than less urgent ones in a surge. It does no I/O and is not used yet.

--- /dev/null
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -0,0 +1,248 @@
+#include "cowslip/scheduling/request_scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cowslip::scheduling {
+
+bool RequestScheduler::IsWaiting(const FlowKey& flow) const {
+  const auto found = queue_.find(flow);
+  return found != queue_.end() && !found->second.is_announced();
+}
+
+RequestScheduler::Queue::iterator RequestScheduler::Erase(
+    Queue::iterator entry) {
+  if (entry->second.is_announced()) {
+    --announced_;
+  } else {
+    bytes_ -= SizeOf(entry->second);
+  }
+  return queue_.erase(entry);
+}
+
+void RequestScheduler::Announce(const FlowKey& flow, const RequestTerms& terms,
+                                TimePoint since, TimePoint now) {
+  if (queue_.size() >= kMaxRequests) return;
+  QueuedRequest request{.flow = flow,
+                        .terms = terms,
+                        .since = since,
+                        .arrival = now,
+                        .packets = {}};
+  if (queue_.try_emplace(flow, std::move(request)).second) ++announced_;
+}
+
+bool RequestScheduler::Withdraw(const FlowKey& flow) {
+  const auto found = queue_.find(flow);
+  if (found == queue_.end() || !found->second.is_announced()) return false;
+  Erase(found);
+  return true;
+}
+
+PacketOutcome RequestScheduler::Submit(const FlowKey& flow,
+                                       const RequestTerms& terms,
+                                       TimePoint since,
+                                       const DataPacket& packet,
+                                       TimePoint now) {
+  if (IsWaiting(flow)) return Hold(flow, packet);
+  Withdraw(flow);
+  if (slots_.HasRoom() && waiting() == 0) {
+    Start(flow, terms, now);
+    return PacketOutcome::kSend;
+  }
+  QueuedRequest request{.flow = flow,
+                        .terms = terms,
+                        .since = since,
+                        .arrival = now,
+                        .packets = {}};
+  request.packets.Add(packet);
+  const auto size = SizeOf(request);
+  if (packet.bytes.size() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
+      queue_.size() >= kMaxRequests) {
+    Start(flow, terms, now);
+    return PacketOutcome::kSend;
+  }
+  bytes_ += size;
+  queue_.emplace(flow, std::move(request));
+  return PacketOutcome::kHeld;
+}
+
+PacketOutcome RequestScheduler::Hold(const FlowKey& flow,
+                                     const DataPacket& packet) {
+  const auto found = queue_.find(flow);
+  if (found == queue_.end()) return PacketOutcome::kSend;
+  auto& packets = found->second.packets;
+  if (packets.Covers(packet)) return PacketOutcome::kDuplicate;
+  const auto size = packet.bytes.size();
+  if (packets.bytes() + size > kMaxFlowBytes || bytes_ + size > kMaxBytes) {
+    return PacketOutcome::kNoMemory;
+  }
+  packets.Add(packet);
+  bytes_ += size;
+  return PacketOutcome::kHeld;
+}
+
+void RequestScheduler::Start(const FlowKey& flow, const RequestTerms& terms,
+                             TimePoint now) {
+  slots_.Take(flow, terms, now);
+}
+
+ReadyRequest RequestScheduler::Take(Queue::iterator entry, TimePoint now) {
+  auto& request = entry->second;
+  bytes_ -= SizeOf(request);
+  ReadyRequest ready{request.flow, request.terms, now - request.arrival,
+                     request.packets.Take()};
+  queue_.erase(entry);
+  slots_.Take(ready.flow, ready.terms, now);
+  return ready;
+}
+
+std::optional<ReadyRequest> RequestScheduler::TakeNow(const FlowKey& flow,
+                                                      TimePoint now) {
+  if (!IsWaiting(flow)) return std::nullopt;
+  return Take(queue_.find(flow), now);
+}
+
+RequestScheduler::Queue::iterator RequestScheduler::FindNext(
+    const RequestOrder& order) {
+  const auto is_ready = [&](const QueuedRequest& request) {
+    return !request.is_announced() && order.CanBeAnswered(request);
+  };
+  auto first = queue_.end();
+  for (auto entry = queue_.begin(); entry != queue_.end(); ++entry) {
+    if (!is_ready(entry->second)) continue;
+    if (first == queue_.end() || order.Precedes(entry->second, first->second)) {
+      first = entry;
+    }
+  }
+  if (first == queue_.end()) return first;
+  auto overtaking = queue_.end();
+  for (auto entry = queue_.begin(); entry != queue_.end(); ++entry) {
+    if (!is_ready(entry->second)) continue;
+    if (!order.Overtakes(entry->second, first->second)) continue;
+    if (overtaking == queue_.end() ||
+        order.Precedes(entry->second, overtaking->second)) {
+      overtaking = entry;
+    }
+  }
+  return overtaking == queue_.end() ? first : overtaking;
+}
+
+std::optional<ReadyRequest> RequestScheduler::TakeNext(TimePoint now,
+                                                       Duration service_time) {
+  if (!slots_.HasRoom() || waiting() == 0) return std::nullopt;
+  const auto next = FindNext(RequestOrder(now, service_time));
+  if (next == queue_.end()) return std::nullopt;
+  return Take(next, now);
+}
+
+DroppedRequest RequestScheduler::ToDropped(const QueuedRequest& request,
+                                           TimePoint now) {
+  return {request.flow, request.terms, now - request.arrival,
+          request.packets.end_seq()};
+}
+
+std::optional<DroppedRequest> RequestScheduler::Remove(const FlowKey& flow,
+                                                       TimePoint now) {
+  if (!IsWaiting(flow)) return std::nullopt;
+  const auto found = queue_.find(flow);
+  const auto dropped = ToDropped(found->second, now);
+  Erase(found);
+  return dropped;
+}
+
+std::vector<DroppedRequest> RequestScheduler::DropUnanswerable(
+    TimePoint now, Duration service_time) {
+  std::vector<DroppedRequest> dropped;
+  const RequestOrder order(now, service_time);
+  for (auto entry = queue_.begin(); entry != queue_.end();) {
+    const auto& request = entry->second;
+    if (request.is_announced() || order.CanBeAnswered(request)) {
+      ++entry;
+      continue;
+    }
+    dropped.push_back(ToDropped(request, now));
+    entry = Erase(entry);
+  }
+  return dropped;
+}
+
+std::vector<DroppedRequest> RequestScheduler::Reset(TimePoint now) {
+  std::vector<DroppedRequest> dropped;
+  for (const auto& [flow, request] : queue_) {
+    if (!request.is_announced()) dropped.push_back(ToDropped(request, now));
+  }
+  queue_.clear();
+  announced_ = 0;
+  bytes_ = 0;
+  slots_.Clear();
+  return dropped;
+}
+
+Duration RequestScheduler::AnswerTimeOf(std::size_t requests,
+                                        Duration service_time) const {
+  const std::size_t slots = slots_.slots();
+  const auto behind = requests > slots ? requests - slots : 0;
+  const auto rounds = (behind + slots - 1) / slots;
+  return service_time * static_cast<Duration::rep>(1 + rounds);
+}
+
+AnswerForecast RequestScheduler::Forecast(const RequestTerms& terms,
+                                          TimePoint since, TimePoint now,
+                                          Duration service_time) const {
+  const RequestOrder order(now, service_time);
+  const QueuedRequest candidate{.flow = {},
+                                .terms = terms,
+                                .since = since,
+                                .arrival = now,
+                                .packets = {}};
+  std::size_t ahead = slots_.taken();
+  std::vector<const QueuedRequest*> behind;
+  const bool checks_displaced = queue_.size() <= kMaxForecastDepth;
+  for (const auto& [flow, request] : queue_) {
+    if (!order.Precedes(candidate, request)) {
+      ++ahead;
+    } else if (checks_displaced) {
+      behind.push_back(&request);
+    }
+  }
+  AnswerForecast forecast;
+  forecast.answer_time = AnswerTimeOf(ahead + 1, service_time);
+  const auto answer_at = now + forecast.answer_time;
+  forecast.in_time = answer_at <= candidate.target_at();
+  forecast.before_limit = answer_at <= since + terms.limit();
+
+  std::sort(behind.begin(), behind.end(), [&](const auto* a, const auto* b) {
+    return order.Precedes(*a, *b);
+  });
+  bool displaces_more_urgent = false;
+  bool displaces_other = false;
+  for (const auto* request : behind) {
+    const auto before = now + AnswerTimeOf(ahead + 1, service_time);
+    const auto after = now + AnswerTimeOf(ahead + 2, service_time);
+    const auto limit = request->since + request->terms.limit();
+    // Will be dropped in any case, so it takes no slot.
+    if (before > limit) continue;
+    ++ahead;
+    const bool becomes_late =
+        before <= request->target_at() && after > request->target_at();
+    forecast.makes_late |= becomes_late;
+    if (!becomes_late && after <= limit) continue;
+    const bool more_urgent = request->terms.priority < terms.priority;
+    (more_urgent ? displaces_more_urgent : displaces_other) = true;
+  }
+  forecast.displaces_only_more_urgent =
+      displaces_more_urgent && !displaces_other;
+  return forecast;
+}
+
+std::uint32_t RequestScheduler::CapacityWithin(Duration time,
+                                               Duration service_time) const {
+  const auto rounds = service_time > Duration::zero() ? time / service_time : 0;
+  const auto possible = static_cast<std::uint64_t>(rounds) * slots_.slots();
+  const auto present = slots_.taken() + queue_.size();
+  if (possible <= present) return 0;
+  return static_cast<std::uint32_t>(
+      std::min<std::uint64_t>(possible - present, UINT32_MAX));
+}
+
+}  // namespace cowslip::scheduling
