LoadEstimator: no factor for a cold upstream once it has answered three times

The mean of a cold upstream was measured while it was cold and then multiplied by 1.6 again, so SYNs that it could have answered were refused.

--- a/packages/segment/include/cowslip/segment/load_estimator.h
+++ b/packages/segment/include/cowslip/segment/load_estimator.h
@@ -32,6 +32,8 @@
   static constexpr std::chrono::milliseconds kInitialServiceTime{20};
   /// Departures that are remembered: more than an upstream has slots.
   static constexpr std::size_t kDepartureHistory = 64;
+  /// Responses of an upstream after which its service times count as measured.
+  static constexpr int kMeasuredResponses = 3;
 
   void SetSlots(std::uint32_t slots) { slots_ = slots == 0 ? 1 : slots; }
   /// A SYN was sent to the upstream, so a first request is expected.
@@ -91,6 +93,7 @@
   std::array<TimePoint, kDepartureHistory> departure_times_{};
   std::uint32_t expected_requests_ = 0;
   bool warming_up_ = false;
+  int responses_ = 0;  ///< Since the upstream started, up to a few.
   double mean_service_time_s_ =
       std::chrono::duration<double>(kInitialServiceTime).count();
   double utilisation_ = 0;  ///< Moving average of the share of busy slots.
--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -49,6 +49,7 @@
   const auto start = ServiceStart(request);
   OnRequestAborted(now);
   if (!start) return;
+  if (responses_ < kMeasuredResponses) ++responses_;
   const double sample = std::chrono::duration<double>(now - *start).count();
   mean_service_time_s_ += kSampleShare * (sample - mean_service_time_s_);
 }
@@ -65,10 +66,13 @@
   in_progress_ = 0;
   expected_requests_ = 0;
   utilisation_ = 0;
+  responses_ = 0;
 }
 
 double LoadEstimator::ServiceTimeSeconds() const {
-  return mean_service_time_s_ * (warming_up_ ? kWarmupFactor : 1.0);
+  // The mean of an upstream that has answered includes its being cold.
+  const bool is_assumed = warming_up_ && responses_ < kMeasuredResponses;
+  return mean_service_time_s_ * (is_assumed ? kWarmupFactor : 1.0);
 }
 
 std::uint32_t LoadEstimator::QueueLength() const {
