Sidecars hold requests beside their upstreams, balancers refuse only what is too late

Requests on open flows passed every check and waited in the upstream's queue. RequestDispatcher gives the upstream its requests in the order of priority and target, and decides about SYNs by the time limit as well as the target. SynRefusal refuses a SYN only if no member can answer before its time limit, and sends callers that were refused lately to a member with capacity. Acknowledgements report how many further requests would be answered in time.

Without priorities and time limits in the configuration, packets pass as before.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -15,6 +15,8 @@
 #include "cowslip/segment/member.h"                   // IWYU pragma: export
 #include "cowslip/segment/observer.h"                 // IWYU pragma: export
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
+#include "cowslip/segment/refused_callers.h"          // IWYU pragma: export
+#include "cowslip/segment/request_dispatcher.h"       // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
 #include "cowslip/segment/round_trip_estimator.h"     // IWYU pragma: export
 #include "cowslip/segment/route_table.h"              // IWYU pragma: export
@@ -22,5 +24,6 @@
 #include "cowslip/segment/sidecar.h"                  // IWYU pragma: export
 #include "cowslip/segment/sidecar_state_table.h"      // IWYU pragma: export
 #include "cowslip/segment/sidecar_stats.h"            // IWYU pragma: export
+#include "cowslip/segment/syn_refusal.h"              // IWYU pragma: export
 #include "cowslip/segment/upstream_gate.h"            // IWYU pragma: export
 #include "cowslip/segment/upstream_liveness_timer.h"  // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/admission.h
+++ b/packages/segment/include/cowslip/segment/admission.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <optional>
 
+#include "cowslip/scheduling.h"
+
 namespace cowslip::segment {
 
 /// State of an upstream when a SYN reaches its sidecar.
@@ -34,4 +36,15 @@
 Admission DecideAdmission(const AdmissionState& state,
                           std::optional<std::chrono::milliseconds> time_left);
 
+/// Decides by what the order of scheduling::RequestOrder makes of a new request
+/// and of those that wait already.
+///
+/// Load pattern: more requests than an upstream's slots can serve, of different
+/// urgency. A request that is late but answered before its time limit is better
+/// than none, if no other becomes late for it.
+///
+/// @param has_free_slot of the upstream, which nobody waits for.
+Admission DecideScheduledAdmission(const scheduling::AnswerForecast& forecast,
+                                   bool has_free_slot);
+
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -21,6 +21,7 @@
 #include "cowslip/segment/round_trip_estimator.h"
 #include "cowslip/segment/route_table.h"
 #include "cowslip/segment/sidecar_state_table.h"
+#include "cowslip/segment/syn_refusal.h"
 
 namespace cowslip::segment {
 
@@ -141,7 +142,14 @@
   bool RetrySyn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
   void OnNotFound(const Ack& ack, TimePoint now, Outbox& out);
-  static bool IsOnlyTransmission(const PendingPacket& syn);
+  /// Refuses a SYN that no member has accepted, or lets it wait.
+  /// @return whether it stays pending.
+  bool OnSynNotAccepted(PendingPacket& syn, const Ack& ack, TimePoint now,
+                        Outbox& out);
+  /// Replaces the candidates of a SYN by the member with the most capacity.
+  /// @return whether there is one.
+  bool ForceChoice(PendingPacket& syn, TimePoint now);
+  std::uint8_t PriorityOf(const Segment& segment) const;
   std::string_view MembersUncertainty(const Route& route, TimePoint now) const;
   void LogDecision(std::string_view action, std::string_view reason,
                    const FlowKey& flow, InstanceAddress instance = 0,
@@ -160,6 +168,7 @@
   PendingPackets pending_;
   RoundTripEstimator round_trips_;
   RetryBudget retry_budget_;
+  SynRefusal syn_refusal_;
   TokenBucket full_lookup_budget_{kFullLookupRate, kFullLookupBurst};
   BalancerStats stats_;
 };
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "cowslip/base.h"
+#include "cowslip/scheduling.h"
 
 namespace cowslip::segment {
 
@@ -30,6 +31,15 @@
   std::uint64_t uncertain_lookups = 0;
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
+  /// Refused SYNs by the priority of their route.
+  struct Refusals {
+    std::uint64_t no_route = 0;
+    std::uint64_t no_member = 0;
+    std::uint64_t no_answer_in_time = 0;
+  };
+  scheduling::PriorityCounts<Refusals> refused;
+  /// SYNs sent to the member with the most capacity instead of being refused.
+  std::uint64_t forced = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -5,6 +5,7 @@
 #include <unordered_map>
 
 #include "cowslip/base.h"
+#include "cowslip/scheduling.h"
 #include "cowslip/segment/load_estimator.h"
 #include "cowslip/segment/segment.h"
 
@@ -33,7 +34,15 @@
   std::uint32_t caller_next_seq = 0;
   bool caller_next_seq_valid = false;  ///< caller_next_seq is valid.
   RequestStart request;                ///< The request in progress.
-  TimePoint last_activity{};           ///< Last packet of the flow.
+  scheduling::RequestTerms terms;      ///< Of its requests, as of the SYN.
+  /// When the caller sent the SYN, until the first request has arrived.
+  std::optional<TimePoint> first_request_since;
+  /// Sequence number after the last request that was dropped, whose packets the
+  /// caller may repeat.
+  std::optional<std::uint32_t> dropped_end_seq;
+  /// RequestDispatcher::upstream_restarts() when the upstream had the flow.
+  std::uint32_t upstream_restarts = 0;
+  TimePoint last_activity{};  ///< Last packet of the flow.
 };
 
 /// Flows that a sidecar has seen, limited in size and in the age of its
--- a/packages/segment/include/cowslip/segment/observer.h
+++ b/packages/segment/include/cowslip/segment/observer.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "cowslip/base.h"
@@ -17,6 +19,9 @@
   std::uint64_t config = 0;      ///< Version of the route table that was used.
   std::uint32_t place = 0;       ///< Index on the candidate list.
   std::uint32_t wait_us = 0;     ///< Expected wait that was compared.
+  /// Urgency of the request; std::nullopt if the decision is not about one.
+  std::optional<std::uint8_t> priority{};
+  std::chrono::milliseconds waited{};  ///< How long the request waited.
 };
 
 /// Receives each decision synchronously. Implementations must not block.
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -28,6 +28,11 @@
   TimePoint timed_since{};  ///< When it was sent there.
   /// Transmissions after the first one without any response in between.
   int resends = 0;
+  /// A transmission ended without an acknowledgement, so a member may have the
+  /// packet.
+  bool unacknowledged = false;
+  /// The SYN was sent to the member with the most capacity.
+  bool was_forced = false;
   /// Whether the packet has been sent at all.
   bool sent = false;
   /// Ranked members before the current candidates, all queried.
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -2,7 +2,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 
 #include "cowslip/base.h"
 #include "cowslip/segment/admission.h"
@@ -10,11 +9,11 @@
 #include "cowslip/segment/flow_state_table.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/frame_ring.h"
-#include "cowslip/segment/load_estimator.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
 #include "cowslip/segment/pending_query.h"
 #include "cowslip/segment/pending_syn_queue.h"
+#include "cowslip/segment/request_dispatcher.h"
 #include "cowslip/segment/sidecar_stats.h"
 #include "cowslip/segment/upstream_gate.h"
 #include "cowslip/segment/upstream_liveness_timer.h"
@@ -27,6 +26,8 @@
  public:
   Sidecar(InstanceAddress self, ServiceTag service, Observer& observer,
           const ProcessStart& started);
+  Sidecar(const Sidecar&) = delete;
+  Sidecar& operator=(const Sidecar&) = delete;
 
   /// Sets the interval at which the upstream sends its reports.
   void SetReportInterval(std::chrono::milliseconds interval) {
@@ -90,7 +91,13 @@
   }
   const UpstreamStateTracker& gate() const { return upstream_state_; }
   const SidecarStats& stats() const { return stats_; }
-  const LoadEstimator& load() const { return load_; }
+  const LoadEstimator& load() const { return requests_.load(); }
+  /// @return requests that wait for a slot of the upstream.
+  std::size_t requests_waiting() const { return requests_.waiting(); }
+  /// @return whether a request is in progress or waits.
+  bool has_requests() const {
+    return load().in_progress() > 0 || requests_waiting() > 0;
+  }
   std::size_t flows() const { return flows_.size(); }
   /// @return the newest configuration that balancers are known to use, 0 if
   ///     none has used the newest one since the store came back.
@@ -99,12 +106,6 @@
   }
 
  private:
-  /// A flow whose first request has not arrived yet.
-  struct ExpectedRequest {
-    FlowKey flow;
-    TimePoint due;  ///< When it no longer counts as load.
-  };
-
   void HandleSyn(SegmentFrame& frame, const Segment& segment, ByteView packet,
                  TimePoint now, Outbox& out);
   void HandleExistingFlow(SegmentFrame& frame, const Segment& segment,
@@ -145,9 +146,6 @@
   FlowEntry& StartRecord(const FlowKey& flow, FlowState state, TimePoint now);
   /// Updates the record of a flow from a packet that the upstream sent.
   void RecordUpstreamPacket(const Segment& segment, TimePoint now);
-  void TrackRequest(FlowEntry& entry, const Segment& segment, TimePoint now);
-  void EndRequest(FlowEntry& entry, TimePoint now);
-  void ReleaseLoad(FlowEntry& entry, TimePoint now);
   void Acknowledge(const SegmentFrame& frame, AckStatus status,
                    const Segment& segment, TimePoint now, Outbox& out,
                    InstanceAddress next = 0);
@@ -167,14 +165,13 @@
   bool newest_config_in_use_ = false;
   UpstreamStateTracker upstream_state_;
   UpstreamLivenessTimer liveness_;
-  LoadEstimator load_;
   FlowStateTable flows_;
   FrameRing sent_frames_;
   PendingSynQueue pending_syns_;
   PendingQueryQueue pending_queries_;
-  std::deque<ExpectedRequest> expected_requests_;
   TimePoint last_sweep_{};
   SidecarStats stats_;
+  RequestDispatcher requests_;
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -45,6 +45,9 @@
   /// @return the expected wait that the sidecar last reported, 0 if there is no
   /// recent report.
   std::uint32_t ExpectedWaitUs(InstanceAddress sidecar, TimePoint now) const;
+  /// @return the capacity that a responsive sidecar has reported lately, less
+  /// what was reserved since; 0 without a recent report.
+  std::uint16_t Capacity(InstanceAddress sidecar, TimePoint now) const;
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
--- a/packages/segment/include/cowslip/segment/sidecar_stats.h
+++ b/packages/segment/include/cowslip/segment/sidecar_stats.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 
 #include "cowslip/base.h"
+#include "cowslip/scheduling.h"
 
 namespace cowslip::segment {
 
@@ -24,6 +25,12 @@
   /// From sending a request to the upstream until the first data of its
   /// response.
   LatencyHistogram request_time;
+  /// Requests that ended while they waited for a slot.
+  std::uint64_t requests_dropped = 0;
+  /// Times that a slot was found idle while a request waited beside it.
+  std::uint64_t idle_slots_while_waiting = 0;
+  /// From the first packet of a request until the upstream was given it.
+  scheduling::PriorityCounts<LatencyHistogram> waited;
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -105,6 +105,7 @@
     }
     return;
   }
+  if (syn_refusal_.PrefersForced(segment, now)) ForceChoice(pending, now);
   SendAndTrack(std::move(pending), now, out);
 }
 
@@ -118,6 +119,8 @@
 void Balancer::RefuseSyn(const Segment& segment, Outbox& out) {
   const bool routed = routes_->Find(segment.flow.service) != nullptr;
   ++(routed ? stats_.no_member : stats_.no_route);
+  auto& refused = stats_.refused[PriorityOf(segment)];
+  ++(routed ? refused.no_member : refused.no_route);
   ++stats_.resets;
   LogDecision("refuse", routed ? "no_member" : "no_route", segment.flow);
   out.SendReset(segment.flow, 0);
@@ -156,6 +159,7 @@
   if (route == nullptr) return false;
   frame.service = route->ChooseService(hash);
   if (segment.is_syn()) {
+    frame.forced = false;
     members_.ListForNewFlow(hash, now, frame);
   } else {
     frame.inconclusive = false;
@@ -325,30 +329,11 @@
   return {};
 }
 
-/// @return whether no other transmission of the SYN may still reach an
-/// upstream, so that a reset truly means that nothing ran.
-bool Balancer::IsOnlyTransmission(const PendingPacket& syn) {
-  return syn.segment.ack == 0 && syn.resends == 0;
-}
-
 void Balancer::OnNotFound(const Ack& ack, TimePoint now, Outbox& out) {
   const auto found = pending_.find(ack.flow);
   if (ack.syn) {
-    // Every member forwarded the SYN; OnTick() sends it again.
     if (found == pending_.end()) return;
-    auto& syn = found->second;
-    if (ack.overloaded && IsOnlyTransmission(syn)) {
-      ++stats_.overloaded;
-      ++stats_.resets;
-      LogDecision("refuse", "no_answer_in_time", ack.flow);
-      out.SendReset(ack.flow, 0);
-      pending_.erase(found);
-      return;
-    }
-    syn.awaiting_ack_from = 0;
-    const int doublings =
-        std::min(syn.resends, RoundTripEstimator::kMaxBackoff);
-    syn.next_attempt = now + kSynRetryInterval * (1 << doublings);
+    if (!OnSynNotAccepted(found->second, ack, now, out)) pending_.erase(found);
     return;
   }
   ++stats_.unheld;
@@ -442,6 +427,7 @@
   }
   ++stats_.resent;
   ++pending.resends;
+  pending.unacknowledged |= pending.awaiting_ack_from != 0;
   return true;
 }
 
--- /dev/null
+++ b/packages/segment/src/request_dispatcher.cc
@@ -0,0 +1,286 @@
+#include "cowslip/segment/request_dispatcher.h"
+
+#include <algorithm>
+
+#include "cowslip/segment/frame_ring.h"
+#include "syn_copy.h"
+
+namespace cowslip::segment {
+namespace {
+
+using scheduling::PacketOutcome;
+using scheduling::RequestTerms;
+
+/// Time until a first request is no longer expected. Callers send it within a
+/// round trip of the SYN.
+constexpr std::chrono::milliseconds kFirstRequestTimeout{150};
+/// Time after which a longer time limit replaces the shortest one seen, as its
+/// route may have been changed or removed.
+constexpr std::chrono::seconds kShortestLimitLifetime{10};
+
+/// @param age time since the start of the request at its caller.
+RequestTerms TermsOf(const SegmentFrame& frame, std::chrono::milliseconds age) {
+  RequestTerms terms;
+  if (frame.time_left) terms.latency_target = *frame.time_left + age;
+  if (!frame.request) return terms;
+  terms.priority = frame.request->priority;
+  if (frame.request->time_limit) {
+    terms.time_limit = *frame.request->time_limit + age;
+  }
+  return terms;
+}
+
+/// @return whether the data of a packet ends before or at a sequence number.
+bool EndsAtOrBefore(const Segment& segment, std::uint32_t seq) {
+  return static_cast<std::int32_t>(segment.end_seq() - seq) <= 0;
+}
+
+}  // namespace
+
+Duration RequestDispatcher::ServiceTime() const {
+  // The estimate is that of a request behind all others. Without the rounds
+  // that it would wait, it is the time in a slot.
+  const auto others = load_.in_progress() + scheduler_.queued();
+  const auto rounds = scheduler_.AnswerTimeOf(others + 1, Duration{1}).count();
+  return load_.AnswerTime() / rounds;
+}
+
+RequestDispatcher::SynDecision RequestDispatcher::DecideSyn(
+    const SegmentFrame& frame, const Segment& syn, TimePoint now) const {
+  const auto age = SynAge(syn.ack);
+  const auto terms = TermsOf(frame, age);
+  if (!terms.IsClassified() && !IsActive(now)) {
+    const AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
+                               load_.AnswerTime()};
+    return {DecideAdmission(state, frame.time_left), state.answer_time,
+            !frame.time_left};
+  }
+  const auto forecast =
+      scheduler_.Forecast(terms, now - age, now, ServiceTime());
+  return {DecideScheduledAdmission(forecast, load_.HasFreeSlot()),
+          std::chrono::duration_cast<std::chrono::microseconds>(
+              forecast.answer_time),
+          false};
+}
+
+void RequestDispatcher::NoteClass(const RequestTerms& terms, TimePoint now) {
+  if (!terms.IsClassified()) return;
+  last_classified_ = now;
+  if (!terms.time_limit) return;
+  const bool replaces = !shortest_limit_ ||
+                        *terms.time_limit <= *shortest_limit_ ||
+                        now - shortest_limit_seen_ > kShortestLimitLifetime;
+  if (!replaces) return;
+  shortest_limit_ = terms.time_limit;
+  shortest_limit_seen_ = now;
+}
+
+void RequestDispatcher::OnSynAccepted(FlowEntry& entry,
+                                      const SegmentFrame& frame,
+                                      const Segment& syn, TimePoint now) {
+  const auto age = SynAge(syn.ack);
+  entry.terms = TermsOf(frame, age);
+  entry.first_request_since = now - age;
+  entry.awaiting_first_request = true;
+  NoteClass(entry.terms, now);
+  load_.OnRequestExpected();
+  scheduler_.Announce(syn.flow, entry.terms, now - age, now);
+  expected_requests_.push_back({syn.flow, now + kFirstRequestTimeout});
+}
+
+void RequestDispatcher::EndAnnouncement(const FlowKey& flow, FlowEntry& entry) {
+  if (!entry.awaiting_first_request) return;
+  entry.awaiting_first_request = false;
+  load_.OnExpectedRequestEnded();
+  scheduler_.Withdraw(flow);
+}
+
+void RequestDispatcher::OnCallerPacket(FlowEntry& entry,
+                                       const SegmentFrame& frame,
+                                       const Segment& segment, ByteView packet,
+                                       TimePoint now, Outbox& out) {
+  const bool caller_ended = segment.rst || (segment.fin && segment.length == 0);
+  if (caller_ended) {
+    const auto dropped = scheduler_.Remove(segment.flow, now);
+    if (dropped) OnDropped(*dropped, "caller_ended");
+  }
+  const bool has_request = entry.state == FlowState::kEstablished &&
+                           segment.length > 0 && !segment.rst;
+  if (has_request && !PassesData(entry, frame, segment, packet, now, out)) {
+    return;
+  }
+  out.SendToUpstream(FrameRing::kNoToken, packet);
+}
+
+bool RequestDispatcher::PassesData(FlowEntry& entry, const SegmentFrame& frame,
+                                   const Segment& segment, ByteView packet,
+                                   TimePoint now, Outbox& out) {
+  if (entry.dropped_end_seq &&
+      EndsAtOrBefore(segment, *entry.dropped_end_seq)) {
+    return false;
+  }
+  const bool is_new = !entry.caller_next_seq_valid ||
+                      !EndsAtOrBefore(segment, entry.caller_next_seq);
+  if (is_new) {
+    entry.caller_next_seq_valid = true;
+    entry.caller_next_seq = segment.end_seq();
+  }
+  if (scheduler_.IsWaiting(segment.flow)) {
+    const auto outcome =
+        scheduler_.Hold(segment.flow, {segment.seq, segment.end_seq(), packet});
+    if (outcome != PacketOutcome::kNoMemory) return false;
+    // The upstream gets the data in order, so the packets before go first.
+    const auto ready = scheduler_.TakeNow(segment.flow, now);
+    if (ready) Send(*ready, now, out);
+    return true;
+  }
+  if (!is_new || entry.request_in_progress) return true;
+  // A process that started after the SYN learns the class from a later frame.
+  if (!entry.terms.IsClassified() && frame.request) {
+    entry.terms = TermsOf(frame, {});
+    NoteClass(entry.terms, now);
+  }
+  return PassesNewRequest(entry, segment, packet, now);
+}
+
+bool RequestDispatcher::PassesNewRequest(FlowEntry& entry,
+                                         const Segment& segment,
+                                         ByteView packet, TimePoint now) {
+  const auto since = entry.first_request_since.value_or(now);
+  entry.first_request_since.reset();
+  EndAnnouncement(segment.flow, entry);
+  // An upstream that has restarted returns the packet at once, which resets the
+  // flow.
+  if (entry.upstream_restarts != upstream_restarts_) return true;
+  if (!IsActive(now)) {
+    scheduler_.Start(segment.flow, entry.terms, now);
+    OnStarted(segment.flow, &entry, entry.terms, {}, now);
+    return true;
+  }
+  const auto outcome =
+      scheduler_.Submit(segment.flow, entry.terms, since,
+                        {segment.seq, segment.end_seq(), packet}, now);
+  if (outcome == PacketOutcome::kHeld) {
+    load_.OnRequestExpected();
+    return false;
+  }
+  OnStarted(segment.flow, &entry, entry.terms, {}, now);
+  return true;
+}
+
+void RequestDispatcher::OnStarted(const FlowKey& /*flow*/, FlowEntry* entry,
+                                  const RequestTerms& terms, Duration waited,
+                                  TimePoint now) {
+  const auto start = load_.OnStarted(now);
+  if (entry != nullptr) {
+    entry->request_in_progress = true;
+    entry->request = start;
+  }
+  if (IsActive(now)) stats_->waited[terms.priority].Record(waited);
+}
+
+void RequestDispatcher::Send(const scheduling::ReadyRequest& ready,
+                             TimePoint now, Outbox& out) {
+  load_.OnExpectedRequestEnded();
+  OnStarted(ready.flow, flows_->Find(ready.flow), ready.terms, ready.waited,
+            now);
+  for (const auto& packet : ready.packets) {
+    out.SendToUpstream(FrameRing::kNoToken, packet);
+  }
+}
+
+void RequestDispatcher::OnUpstreamPacket(FlowEntry& entry,
+                                         const Segment& segment,
+                                         TimePoint now) {
+  entry.upstream_restarts = upstream_restarts_;
+  if (segment.length == 0 || !entry.request_in_progress) return;
+  entry.request_in_progress = false;
+  stats_->request_time.Record(now - entry.request.arrival);
+  if (scheduler_.Free(segment.flow)) load_.OnResponse(entry.request, now);
+}
+
+void RequestDispatcher::FreeSlot(const FlowKey& flow, TimePoint now) {
+  if (scheduler_.Free(flow)) load_.OnRequestAborted(now);
+}
+
+void RequestDispatcher::Release(const FlowKey& flow, FlowEntry& entry,
+                                TimePoint now) {
+  EndAnnouncement(flow, entry);
+  if (entry.request_in_progress) FreeSlot(flow, now);
+  entry.request_in_progress = false;
+  const auto dropped = scheduler_.Remove(flow, now);
+  if (dropped) OnDropped(*dropped, "flow_ended");
+}
+
+void RequestDispatcher::OnDropped(const scheduling::DroppedRequest& dropped,
+                                  std::string_view reason) {
+  load_.OnExpectedRequestEnded();
+  ++stats_->requests_dropped;
+  FlowDecision decision;
+  decision.action = "drop_request";
+  decision.reason = reason;
+  decision.flow = dropped.flow;
+  decision.priority = dropped.terms.priority;
+  decision.waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(dropped.waited);
+  observer_->OnDecision(decision);
+}
+
+void RequestDispatcher::DropUnanswerable(TimePoint now) {
+  for (const auto& each : scheduler_.DropUnanswerable(now, ServiceTime())) {
+    OnDropped(each, "past_time_limit");
+    // Its caller may repeat the packets until it gives up.
+    auto* entry = flows_->Find(each.flow);
+    if (entry != nullptr) entry->dropped_end_seq = each.end_seq;
+  }
+}
+
+void RequestDispatcher::Dispatch(TimePoint now, Outbox& out) {
+  if (scheduler_.waiting() == 0 || !scheduler_.slots().HasRoom()) return;
+  DropUnanswerable(now);
+  while (const auto ready = scheduler_.TakeNext(now, ServiceTime())) {
+    Send(*ready, now, out);
+  }
+}
+
+void RequestDispatcher::OnTick(TimePoint now, Outbox& out) {
+  while (!expected_requests_.empty() && now >= expected_requests_.front().due) {
+    const auto flow = expected_requests_.front().flow;
+    expected_requests_.pop_front();
+    if (auto* entry = flows_->Find(flow)) EndAnnouncement(flow, *entry);
+  }
+  if (!IsActive(now)) return;
+  for (const auto& flow : scheduler_.FreeOverdue(now)) {
+    load_.OnRequestAborted(now);
+    if (auto* entry = flows_->Find(flow)) entry->request_in_progress = false;
+  }
+  DropUnanswerable(now);
+  Dispatch(now, out);
+  if (scheduler_.slots().HasIdleSlot() && scheduler_.waiting() > 0) {
+    ++stats_->idle_slots_while_waiting;
+  }
+}
+
+void RequestDispatcher::OnResume(TimePoint now) { DropUnanswerable(now); }
+
+void RequestDispatcher::OnReport(const UpstreamReport& report, bool restarted,
+                                 TimePoint now) {
+  load_.SetSlots(report.slots);
+  scheduler_.SetSlots(report.slots);
+  if (!restarted) return;
+  ++upstream_restarts_;
+  for (const auto& each : scheduler_.Reset(now)) {
+    OnDropped(each, "upstream_restarted");
+  }
+  load_.Reset(now);
+}
+
+std::uint32_t RequestDispatcher::Capacity(TimePoint now) const {
+  const auto free_slots = load_.free_slots();
+  if (!IsActive(now) || !shortest_limit_) return free_slots;
+  const auto within =
+      scheduler_.CapacityWithin(*shortest_limit_, ServiceTime());
+  return std::min(std::max(free_slots, within), kMaxCapacity);
+}
+
+}  // namespace cowslip::segment
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -9,9 +9,6 @@
 /// milliseconds; a sidecar that has used up its CPU quota sees the answer up to
 /// 100 ms later.
 constexpr std::chrono::milliseconds kAnswerTimeout{80};
-/// Time until a first request is no longer expected. Callers send it within a
-/// round trip of the SYN.
-constexpr std::chrono::milliseconds kFirstRequestTimeout{150};
 /// Time within which an upstream returns a packet of a flow that it doesn't
 /// own. It is on the same machine.
 constexpr std::chrono::milliseconds kReturnTime{10};
@@ -30,7 +27,8 @@
     : self_(self),
       service_(service),
       observer_(&observer),
-      unseen_flows_(started) {}
+      unseen_flows_(started),
+      requests_(flows_, stats_, observer) {}
 
 void Sidecar::UpdateConfigVersion(std::uint64_t config, TimePoint now) {
   if (config >= newest_config_) newest_config_in_use_ = true;
@@ -65,6 +63,7 @@
   } else {
     HandleExistingFlow(frame, segment, packet, now, out);
   }
+  requests_.Dispatch(now, out);
 }
 
 void Sidecar::HandleSyn(SegmentFrame& frame, const Segment& segment,
@@ -97,17 +96,15 @@
     Forward(frame, segment, packet, now, out);
     return;
   }
-  const AdmissionState state{load_.HasFreeSlot(), load_.CanQueue(),
-                             load_.AnswerTime()};
-  const auto admission = DecideAdmission(state, frame.time_left);
-  // Without a latency target, the choice of the others is final.
-  const bool chosen =
-      frame.forced && (admission == Admission::kCandidate || !frame.time_left);
+  const auto decision = requests_.DecideSyn(frame, segment, now);
+  const auto admission = decision.admission;
+  const bool chosen = frame.forced && (admission == Admission::kCandidate ||
+                                       decision.choice_is_final);
   if (admission == Admission::kAccept || chosen) {
     Accept(frame, segment, packet, now, out);
     return;
   }
-  const auto wait = static_cast<std::uint32_t>(state.answer_time.count());
+  const auto wait = static_cast<std::uint32_t>(decision.answer_time.count());
   if (admission == Admission::kTooLate) {
     frame.overloaded = true;
     LogDecision("pass_on", "too_late", segment.flow, frame);
@@ -122,9 +119,7 @@
                      ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.taken;
   auto& entry = StartRecord(segment.flow, FlowState::kSynSent, now);
-  entry.awaiting_first_request = true;
-  load_.OnRequestExpected();
-  expected_requests_.push_back({segment.flow, now + kFirstRequestTimeout});
+  requests_.OnSynAccepted(entry, frame, segment, now);
   out.SendToUpstream(sent_frames_.Store(segment.flow, frame), packet);
   if (packet.size() <= PendingSyn::kMaxPacket) {
     PendingSyn pending_syn;
@@ -225,51 +220,17 @@
                       const Segment& segment, ByteView packet, TimePoint now,
                       Outbox& out) {
   entry.last_activity = now;
-  if (entry.state == FlowState::kEstablished) TrackRequest(entry, segment, now);
+  requests_.OnCallerPacket(entry, frame, segment, packet, now, out);
   if (segment.fin) entry.caller_fin = true;
   if (segment.rst || (entry.caller_fin && entry.upstream_fin)) {
-    ReleaseLoad(entry, now);
+    requests_.Release(segment.flow, entry, now);
     entry.state = FlowState::kClosed;
   }
-  out.SendToUpstream(FrameRing::kNoToken, packet);
   if (frame.place > 0 || frame.searched) {
     Acknowledge(frame, AckStatus::kAccepted, segment, now, out);
   }
 }
 
-void Sidecar::TrackRequest(FlowEntry& entry, const Segment& segment,
-                           TimePoint now) {
-  if (segment.length == 0) return;
-  const bool is_new =
-      !entry.caller_next_seq_valid ||
-      static_cast<std::int32_t>(segment.end_seq() - entry.caller_next_seq) > 0;
-  if (!is_new) return;
-  entry.caller_next_seq_valid = true;
-  entry.caller_next_seq = segment.end_seq();
-  if (entry.request_in_progress) return;
-  if (entry.awaiting_first_request) {
-    entry.awaiting_first_request = false;
-    load_.OnExpectedRequestEnded();
-  }
-  entry.request_in_progress = true;
-  entry.request = load_.OnStarted(now);
-}
-
-void Sidecar::EndRequest(FlowEntry& entry, TimePoint now) {
-  if (!entry.request_in_progress) return;
-  entry.request_in_progress = false;
-  stats_.request_time.Record(now - entry.request.arrival);
-  load_.OnResponse(entry.request, now);
-}
-
-/// Removes the requests of a flow from the load estimate.
-void Sidecar::ReleaseLoad(FlowEntry& entry, TimePoint now) {
-  if (entry.awaiting_first_request) load_.OnExpectedRequestEnded();
-  if (entry.request_in_progress) load_.OnRequestAborted(now);
-  entry.awaiting_first_request = false;
-  entry.request_in_progress = false;
-}
-
 void Sidecar::Forward(SegmentFrame& frame, const Segment& segment,
                       ByteView packet, TimePoint now, Outbox& out) {
   const std::uint8_t next = frame.place + 1;
@@ -310,12 +271,14 @@
   upstream_state_.OnAnswered();
   RecordUpstreamPacket(segment, now);
   out.SendToCaller(segment.flow, packet);
+  requests_.Dispatch(now, out);
 }
 
 FlowEntry& Sidecar::StartRecord(const FlowKey& flow, FlowState state,
                                 TimePoint now) {
   const auto evicted = flows_.evicted_open();
   auto& entry = flows_.Start(flow, state, now);
+  entry.upstream_restarts = requests_.upstream_restarts();
   if (flows_.evicted_open() != evicted) unseen_flows_.OnRecordLost(now);
   return entry;
 }
@@ -339,11 +302,11 @@
     entry->syn_acked = true;
     entry->upstream_seq = segment.seq;
   }
-  if (segment.length > 0) EndRequest(*entry, now);
+  requests_.OnUpstreamPacket(*entry, segment, now);
   if (segment.fin) entry->upstream_fin = true;
   const bool both_closed = entry->caller_fin && entry->upstream_fin;
   if (!segment.rst && !both_closed) return;
-  ReleaseLoad(*entry, now);
+  requests_.Release(segment.flow, *entry, now);
   // A reset during the handshake doesn't tell whom the caller has chosen.
   entry->state = entry->state == FlowState::kSynSent ? FlowState::kNotOwned
                                                      : FlowState::kClosed;
@@ -358,7 +321,7 @@
   const auto frame = sent_frames_.Find(token, segment.flow);
   if (segment.is_syn()) {
     if (entry != nullptr) {
-      ReleaseLoad(*entry, now);
+      requests_.Release(segment.flow, *entry, now);
       flows_.Erase(segment.flow);
     }
     if (!frame) return;
@@ -384,7 +347,7 @@
   if (entry == nullptr) {
     StartRecord(segment.flow, FlowState::kNotOwned, now);
   } else {
-    ReleaseLoad(*entry, now);
+    requests_.Release(segment.flow, *entry, now);
     entry->state = FlowState::kNotOwned;
   }
   if (!frame) return;
@@ -398,7 +361,8 @@
                             Outbox& out) {
   LogDecision("lost_flow", reason, segment.flow, SegmentFrame{});
   if (entry.state == FlowState::kClosed) return;
-  ReleaseLoad(entry, now);
+  requests_.Release(segment.flow, entry, now);
+  requests_.Dispatch(now, out);
   ++stats_.resets;
   out.SendReset(segment.flow, segment.ack);
 }
@@ -428,36 +392,34 @@
       LogDecision("upstream_silent", "openings_unanswered", pending_syn.flow,
                   pending_syn.frame);
     }
-    ReleaseLoad(*entry, now);
+    requests_.Release(pending_syn.flow, *entry, now);
     Segment segment;
     segment.flow = pending_syn.flow;
     segment.syn = true;
     LogDecision("pass_on", "unanswered", pending_syn.flow, pending_syn.frame);
     Forward(pending_syn.frame, segment, pending_syn.bytes(), now, out);
   }
-  while (!expected_requests_.empty() && now >= expected_requests_.front().due) {
-    auto* entry = flows_.Find(expected_requests_.front().flow);
-    expected_requests_.pop_front();
-    if (entry == nullptr || !entry->awaiting_first_request) continue;
-    entry->awaiting_first_request = false;
-    load_.OnExpectedRequestEnded();
-  }
+  requests_.OnTick(now, out);
   if (now - last_sweep_ < kSweepInterval) return;
   last_sweep_ = now;
-  load_.SetWarmup(upstream_state_.report().warmup_left >
-                  std::chrono::milliseconds{0});
-  flows_.Expire(
-      now, [&](const FlowKey&, FlowEntry& entry) { ReleaseLoad(entry, now); });
+  requests_.SetWarmup(upstream_state_.report().warmup_left >
+                      std::chrono::milliseconds{0});
+  flows_.Expire(now, [&](const FlowKey& flow, FlowEntry& entry) {
+    requests_.Release(flow, entry, now);
+  });
 }
 
 void Sidecar::OnResume(TimePoint now) {
   stats_.outdated += pending_syns_.size();
   for (const auto& syn : pending_syns_) {
     auto* entry = flows_.Find(syn.flow);
-    if (entry != nullptr && !entry->syn_acked) ReleaseLoad(*entry, now);
+    if (entry != nullptr && !entry->syn_acked) {
+      requests_.Release(syn.flow, *entry, now);
+    }
   }
   pending_syns_.clear();
   pending_queries_.clear();
+  requests_.OnResume(now);
 }
 
 void Sidecar::OnBacklogFrame(const SegmentFrame& frame, const Segment& segment,
@@ -474,8 +436,7 @@
   if (result == ReportResult::kOutdated) return result;
   liveness_.OnActivity();
   unseen_flows_.OnReport(report, now);
-  load_.SetSlots(report.slots);
-  if (result == ReportResult::kNewIncarnation) load_.Reset(now);
+  requests_.OnReport(report, result == ReportResult::kNewIncarnation, now);
   return result;
 }
 
@@ -497,8 +458,9 @@
   ack.open = open();
   ack.config = newest_config_;
   ack.expected_wait_us =
-      static_cast<std::uint32_t>(load_.ExpectedWait(now).count());
-  ack.free_slots = open() ? static_cast<std::uint16_t>(load_.free_slots()) : 0;
+      static_cast<std::uint32_t>(requests_.ExpectedWait(now).count());
+  ack.free_slots =
+      open() ? static_cast<std::uint16_t>(requests_.Capacity(now)) : 0;
 }
 
 void Sidecar::LogDecision(std::string_view action, std::string_view reason,
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -41,6 +41,16 @@
   return found->second.wait_us;
 }
 
+std::uint16_t SidecarStateTable::Capacity(InstanceAddress sidecar,
+                                          TimePoint now) const {
+  const auto found = contacts_.find(sidecar);
+  if (found == contacts_.end()) return 0;
+  const auto& contact = found->second;
+  const bool is_recent = contact.has_report && contact.misses < kMaxMisses &&
+                         now - contact.reported_at <= kFreeSlotsLifetime;
+  return is_recent ? contact.free_slots : 0;
+}
+
 bool SidecarStateTable::ClaimSlot(InstanceAddress sidecar, TimePoint now) {
   auto& contact = contacts_[sidecar];
   if (contact.misses >= kMaxMisses) return false;
