SynRefusal: forced choice of one of two members, only where members read the class

Members of earlier builds decide by the latency target alone, so balancers with such members refuse as before.

--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -146,7 +146,7 @@
   /// @return whether it stays pending.
   bool OnSynNotAccepted(PendingPacket& syn, const Ack& ack, TimePoint now,
                         Outbox& out);
-  /// Replaces the candidates of a SYN by the member with the most capacity.
+  /// Replaces the candidates of a SYN by one member with capacity.
   /// @return whether there is one.
   bool ForceChoice(PendingPacket& syn, TimePoint now);
   std::uint8_t PriorityOf(const Segment& segment) const;
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -38,7 +38,7 @@
     std::uint64_t no_answer_in_time = 0;
   };
   scheduling::PriorityCounts<Refusals> refused;
-  /// SYNs sent to the member with the most capacity instead of being refused.
+  /// SYNs sent to one member with capacity instead of being refused.
   std::uint64_t forced = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -31,7 +31,7 @@
   /// A transmission ended without an acknowledgement, so a member may have the
   /// packet.
   bool unacknowledged = false;
-  /// The SYN was sent to the member with the most capacity.
+  /// The SYN was sent to one member with capacity.
   bool was_forced = false;
   /// Whether the packet has been sent at all.
   bool sent = false;
--- a/packages/segment/include/cowslip/segment/request_dispatcher.h
+++ b/packages/segment/include/cowslip/segment/request_dispatcher.h
@@ -104,9 +104,8 @@
                   Outbox& out);
   bool PassesNewRequest(FlowEntry& entry, const Segment& segment,
                         ByteView packet, TimePoint now);
-  void OnStarted(const FlowKey& flow, FlowEntry* entry,
-                 const scheduling::RequestTerms& terms, Duration waited,
-                 TimePoint now);
+  void OnStarted(FlowEntry* entry, const scheduling::RequestTerms& terms,
+                 Duration waited, TimePoint now);
   void FreeSlot(const FlowKey& flow, TimePoint now);
   void EndAnnouncement(const FlowKey& flow, FlowEntry& entry);
   void Send(const scheduling::ReadyRequest& ready, TimePoint now, Outbox& out);
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -33,6 +33,10 @@
   /// Urgency of the route's requests, as in RequestClass.
   std::uint8_t priority = RequestClass::kUnknownPriority;
 
+  /// @return whether its requests have a priority or a time limit.
+  bool IsClassified() const {
+    return priority != RequestClass::kUnknownPriority || time_limit.has_value();
+  }
   /// @return the service of a new connection, by weight and flow hash.
   ServiceTag ChooseService(std::uint64_t flow_hash) const;
 };
--- a/packages/segment/include/cowslip/segment/syn_refusal.h
+++ b/packages/segment/include/cowslip/segment/syn_refusal.h
@@ -6,15 +6,14 @@
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/pending_packet.h"
 #include "cowslip/segment/refused_callers.h"
-#include "cowslip/segment/route_table.h"
 
 namespace cowslip::segment {
 
 /// What becomes of a SYN that no member of its list has accepted.
 enum class SynOutcome : std::uint8_t {
   kRefuse,  ///< The caller gets a reset: nothing has run.
-  kForce,   ///< Goes to the member with the most capacity, which has to take it
-            ///< if it can answer before the time limit.
+  kForce,   ///< Goes to one member with capacity, which takes it if it can
+            ///< answer before the time limit.
   kWait,    ///< Is offered to the members again a little later.
 };
 
@@ -27,9 +26,10 @@
 class SynRefusal {
  public:
   /// @param ack of the last member of the list.
+  /// @param classified whether members decide by a priority or time limit.
   /// @param has_capacity whether some member has reported capacity lately.
-  SynOutcome Decide(const PendingPacket& syn, const Ack& ack,
-                    const Route* route, bool has_capacity, TimePoint now);
+  SynOutcome Decide(const PendingPacket& syn, const Ack& ack, bool classified,
+                    bool has_capacity, TimePoint now);
   /// @return whether a new SYN gets the forced choice, as its caller was
   /// refused lately.
   bool PrefersForced(const Segment& syn, TimePoint now) const {
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -9,8 +9,6 @@
 namespace cowslip::segment {
 namespace {
 
-/// First interval at which a SYN is sent again while no member accepts it.
-constexpr std::chrono::milliseconds kSynRetryInterval{40};
 /// Interval at which a packet that the retry budget holds back is checked.
 constexpr std::chrono::milliseconds kDeferralInterval{40};
 /// Time after the start in which members of a service may still be unknown: the
--- a/packages/segment/src/balancer_refusal.cc
+++ b/packages/segment/src/balancer_refusal.cc
@@ -2,12 +2,13 @@
 #include <algorithm>
 
 #include "cowslip/segment/balancer.h"
+#include "syn_copy.h"
 
 namespace cowslip::segment {
 namespace {
 
-/// First interval at which a SYN is sent again while no member accepts it.
-constexpr std::chrono::milliseconds kSynRetryInterval{40};
+/// Makes the choice independent of the ranking of members.
+constexpr std::uint64_t kForcedChoiceSeed = 1;
 
 }  // namespace
 
@@ -17,17 +18,30 @@
 }
 
 bool Balancer::ForceChoice(PendingPacket& syn, TimePoint now) {
+  // The member with the least expected wait would get the SYNs of all balancers
+  // until its next report. Of two that the flow chooses, the better one is
+  // nearly as good, and the load is spread.
+  const auto hash = HashFlow(syn.segment.flow, kForcedChoiceSeed);
+  std::uint32_t members = 0;
+  members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
+    members += sidecar_states_.Capacity(member, now) > 0 ? 1 : 0;
+    return false;
+  });
+  if (members == 0) return false;
+  const std::uint64_t choices[] = {hash % members, (hash >> 32) % members};
   InstanceAddress best = 0;
-  std::uint16_t most = 0;
+  std::uint32_t index = 0;
   members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
-    const auto capacity = sidecar_states_.Capacity(member, now);
-    if (capacity > most) {
-      most = capacity;
-      best = member;
-    }
+    if (sidecar_states_.Capacity(member, now) == 0) return false;
+    const bool is_choice = index == choices[0] || index == choices[1];
+    ++index;
+    if (!is_choice) return false;
+    const bool is_better =
+        best == 0 || sidecar_states_.ExpectedWaitUs(member, now) <
+                         sidecar_states_.ExpectedWaitUs(best, now);
+    if (is_better) best = member;
     return false;
   });
-  if (most == 0) return false;
   sidecar_states_.ClaimSlot(best, now);
   ++stats_.forced;
   syn.was_forced = true;
@@ -42,12 +56,15 @@
                                 TimePoint now, Outbox& out) {
   const auto& flow = syn.segment.flow;
   const auto* route = routes_->Find(flow.service);
+  // Members of earlier builds decide by the latency target alone.
+  const bool classified = route != nullptr && route->IsClassified() &&
+                          members_.AllReadRequestClass();
   const bool has_capacity =
       members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
         return sidecar_states_.Capacity(member, now) > 0;
       });
   syn.awaiting_ack_from = 0;
-  switch (syn_refusal_.Decide(syn, ack, route, has_capacity, now)) {
+  switch (syn_refusal_.Decide(syn, ack, classified, has_capacity, now)) {
     case SynOutcome::kRefuse:
       ++stats_.overloaded;
       ++stats_.resets;
--- a/packages/segment/src/request_dispatcher.cc
+++ b/packages/segment/src/request_dispatcher.cc
@@ -138,8 +138,8 @@
   // A process that started after the SYN learns the class from a later frame.
   if (!entry.terms.IsClassified() && frame.request) {
     entry.terms = TermsOf(frame, {});
-    NoteClass(entry.terms, now);
   }
+  NoteClass(entry.terms, now);
   return PassesNewRequest(entry, segment, packet, now);
 }
 
@@ -154,7 +154,7 @@
   if (entry.upstream_restarts != upstream_restarts_) return true;
   if (!IsActive(now)) {
     scheduler_.Start(segment.flow, entry.terms, now);
-    OnStarted(segment.flow, &entry, entry.terms, {}, now);
+    OnStarted(&entry, entry.terms, {}, now);
     return true;
   }
   const auto outcome =
@@ -164,13 +164,12 @@
     load_.OnRequestExpected();
     return false;
   }
-  OnStarted(segment.flow, &entry, entry.terms, {}, now);
+  OnStarted(&entry, entry.terms, {}, now);
   return true;
 }
 
-void RequestDispatcher::OnStarted(const FlowKey& /*flow*/, FlowEntry* entry,
-                                  const RequestTerms& terms, Duration waited,
-                                  TimePoint now) {
+void RequestDispatcher::OnStarted(FlowEntry* entry, const RequestTerms& terms,
+                                  Duration waited, TimePoint now) {
   const auto start = load_.OnStarted(now);
   if (entry != nullptr) {
     entry->request_in_progress = true;
@@ -182,8 +181,7 @@
 void RequestDispatcher::Send(const scheduling::ReadyRequest& ready,
                              TimePoint now, Outbox& out) {
   load_.OnExpectedRequestEnded();
-  OnStarted(ready.flow, flows_->Find(ready.flow), ready.terms, ready.waited,
-            now);
+  OnStarted(flows_->Find(ready.flow), ready.terms, ready.waited, now);
   for (const auto& packet : ready.packets) {
     out.SendToUpstream(FrameRing::kNoToken, packet);
   }
@@ -249,7 +247,7 @@
     expected_requests_.pop_front();
     if (auto* entry = flows_->Find(flow)) EndAnnouncement(flow, *entry);
   }
-  if (!IsActive(now)) return;
+  if (!IsActive(now) && scheduler_.waiting() == 0) return;
   for (const auto& flow : scheduler_.FreeOverdue(now)) {
     load_.OnRequestAborted(now);
     if (auto* entry = flows_->Find(flow)) entry->request_in_progress = false;
--- a/packages/segment/src/syn_copy.h
+++ b/packages/segment/src/syn_copy.h
@@ -14,6 +14,9 @@
 inline constexpr std::array<std::chrono::milliseconds, 3> kSynLifetimes{
     std::chrono::milliseconds(200), std::chrono::milliseconds(400),
     std::chrono::milliseconds(600)};
+/// First interval at which a SYN is sent again while no member accepts it.
+inline constexpr std::chrono::milliseconds kSynRetryInterval{40};
+
 /// @param copy number of the SYN's copy as the caller sent it: any value, 0 for
 /// the first copy.
 inline std::size_t CopyIndex(std::uint32_t copy) {
--- a/packages/segment/src/syn_refusal.cc
+++ b/packages/segment/src/syn_refusal.cc
@@ -11,11 +11,8 @@
 }
 
 SynOutcome SynRefusal::Decide(const PendingPacket& syn, const Ack& ack,
-                              const Route* route, bool has_capacity,
+                              bool classified, bool has_capacity,
                               TimePoint now) {
-  const bool classified =
-      route != nullptr &&
-      (route->time_limit || route->priority != RequestClass::kUnknownPriority);
   // Members that accept no connections, as they are draining or starting, say
   // nothing about the time limit.
   if (!ack.overloaded || !HasRunNowhere(syn, classified)) {
