--- a/tests/segment/fake_caller.cc
+++ b/tests/segment/fake_caller.cc
@@ -90,6 +90,29 @@
   Finish(CallState::kAnswered);
 }
 
+void FakeCaller::Abort() {
+  if (open_) {
+    Segment reset;
+    reset.flow = flow_;
+    reset.rst = true;
+    reset.seq = seq_;
+    reset.ack = ack_;
+    output_.send(reset);
+  }
+  open_ = false;
+  Finish(CallState::kTimedOut);
+}
+
+void FakeCaller::SendFin() {
+  Segment fin;
+  fin.flow = flow_;
+  fin.ack_flag = true;
+  fin.fin = true;
+  fin.seq = seq_;
+  fin.ack = ack_;
+  output_.send(fin);
+}
+
 void FakeCaller::Finish(CallState state) {
   state_ = state;
   ended_ = output_.now();
--- a/tests/segment/fake_caller.h
+++ b/tests/segment/fake_caller.h
@@ -37,6 +37,10 @@
   /// Sends another request on the open connection.
   void Ask();
   void OnPacket(const Segment& segment);
+  /// Gives up: resets the connection.
+  void Abort();
+  /// Closes the connection from the caller's side.
+  void SendFin();
 
   CallState state() const { return state_; }
   bool open() const { return open_; }
--- a/tests/segment/fake_upstream.cc
+++ b/tests/segment/fake_upstream.cc
@@ -87,7 +87,10 @@
   output_.after(service_time, [this, flow, start = start_] {
     if (!alive_ || start != start_) return;
     --busy_;
-    SendResponse(flow);
+    ++ended_requests_;
+    const bool answers = options_.unanswered_every == 0 ||
+                         ended_requests_ % options_.unanswered_every != 0;
+    if (answers) SendResponse(flow);
     if (queue_.empty()) return;
     const auto next = queue_.front();
     queue_.pop_front();
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -21,6 +21,8 @@
     std::uint32_t slots = 2;
     std::uint32_t queue = 8;
     std::chrono::milliseconds service_time{20};
+    /// Every so many requests end without a response; 0 for none.
+    int unanswered_every = 0;
   };
   /// Callbacks into the simulation: network and timers.
   struct Output {
@@ -51,6 +53,8 @@
     const auto found = flows_.find(flow);
     return found != flows_.end() && found->second.open;
   }
+  /// @return slots that serve a request.
+  std::uint32_t busy() const { return busy_; }
   int runs() const { return started_requests_; }
   int refused() const { return refused_; }
   /// @return packets of flows that it did not own.
@@ -79,6 +83,7 @@
   std::map<FlowKey, Flow> flows_;
   std::uint32_t next_seq_ = 1000;
   int started_requests_ = 0;
+  int ended_requests_ = 0;
   int refused_ = 0;
   int not_owned_ = 0;
 };
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -63,18 +63,22 @@
   output.send = [this, index, self](const Segment& segment) {
     After(kLocalLatency, [this, index, self, segment] {
       if (isolated_.contains(self)) return;
-      Outbox out;
-      sidecar(index).OnUpstreamPacket(segment, ToPacket(segment), now_, out);
-      ExecuteEffects(self, out);
+      OnSidecarEvent(index, [this, index, self, segment] {
+        Outbox out;
+        sidecar(index).OnUpstreamPacket(segment, ToPacket(segment), now_, out);
+        ExecuteEffects(self, out);
+      });
     });
   };
   output.return_packet = [this, index, self](const Segment& segment,
                                              std::uint32_t token) {
     After(kLocalLatency, [this, index, self, segment, token] {
       if (isolated_.contains(self)) return;
-      Outbox out;
-      sidecar(index).OnReturned(token, segment, ToPacket(segment), now_, out);
-      ExecuteEffects(self, out);
+      OnSidecarEvent(index, [this, index, self, segment, token] {
+        Outbox out;
+        sidecar(index).OnReturned(token, segment, ToPacket(segment), now_, out);
+        ExecuteEffects(self, out);
+      });
     });
   };
   output.after = [this](milliseconds delay, std::function<void()> run) {
@@ -114,6 +118,11 @@
   report.sequence = ++host.report_count;
   report.draining = draining;
   report.slots = host.options.slots;
+  const auto warm_at = host.upstream_started + warmup_;
+  if (warm_at > now_) {
+    report.warmup_left =
+        std::chrono::duration_cast<milliseconds>(warm_at - now_);
+  }
   host.sidecar->OnReport(report, now_);
 }
 
@@ -148,7 +157,10 @@
   std::vector<Member> members;
   members.reserve(sidecars.size());
   for (const int index : sidecars) {
-    members.push_back({SidecarAddress(index), true});
+    members.push_back({.sidecar = SidecarAddress(index),
+                       .open = true,
+                       .data_center = 0,
+                       .frame_version = frame_versions_[balancer]});
   }
   balancers_.at(balancer)->SetMembers(TagOf(service), members, now_);
 }
@@ -165,11 +177,13 @@
   }
 }
 
-FakeCaller& Simulation::AddCaller() {
+Endpoint Simulation::ServiceAddress() { return kServiceAddress; }
+
+FakeCaller& Simulation::AddCaller(const Endpoint& service) {
   const auto number = static_cast<std::uint32_t>(callers_.size());
   const FlowKey flow{{0x64400001 + number % 50,
                       static_cast<std::uint16_t>(1024 + number / 50)},
-                     kServiceAddress};
+                     service};
   FakeCaller::Output output;
   output.send = [this](const Segment& segment) {
     if (IsLost()) return;
@@ -218,6 +232,22 @@
   for (const auto& handle : backlog) handle();
 }
 
+void Simulation::OnSidecarEvent(int index, std::function<void()> handle) {
+  const auto suspended = suspended_sidecars_.find(index);
+  if (suspended == suspended_sidecars_.end()) {
+    handle();
+  } else if (suspended->second.size() < kSocketBuffer) {
+    suspended->second.push_back(std::move(handle));
+  }
+}
+
+void Simulation::ResumeSidecar(int index) {
+  const auto backlog = std::move(suspended_sidecars_.at(index));
+  suspended_sidecars_.erase(index);
+  sidecar(index).OnResume(now_);
+  for (const auto& handle : backlog) handle();
+}
+
 std::optional<microseconds> Simulation::Enqueue(InstanceAddress instance,
                                                 LinkQueue Link::*direction,
                                                 std::size_t bytes) {
@@ -288,24 +318,39 @@
     }
     return;
   }
-  Outbox out;
-  const auto kind = KindOf(datagram);
   if (to < SidecarAddress(0)) {
+    Outbox out;
     const auto ack = DecodeAck(datagram);
     if (ack) {
       balancer(static_cast<int>(to - BalancerAddress(0)))
           .OnAck(from, *ack, now_, out);
     }
-  } else if (kind == FrameKind::kProbe) {
-    sidecar(static_cast<int>(to - SidecarAddress(0))).OnProbe(from, now_, out);
+    ExecuteEffects(to, out);
+    return;
+  }
+  const int index = static_cast<int>(to - SidecarAddress(0));
+  const bool backlog = suspended_sidecars_.contains(index);
+  OnSidecarEvent(
+      index, [=, this] { DeliverToSidecar(from, index, datagram, backlog); });
+}
+
+void Simulation::DeliverToSidecar(InstanceAddress from, int index,
+                                  const Bytes& datagram, bool backlog) {
+  Outbox out;
+  if (KindOf(datagram) == FrameKind::kProbe) {
+    sidecar(index).OnProbe(from, now_, out);
   } else {
     ByteView packet;
     const auto frame = DecodeSegmentFrame(datagram, packet);
     if (!frame) return;
-    sidecar(static_cast<int>(to - SidecarAddress(0)))
-        .OnFrame(*frame, FromPacket(packet), packet, now_, out);
+    const auto segment = FromPacket(packet);
+    if (backlog) {
+      sidecar(index).OnBacklogFrame(*frame, segment, packet, now_, out);
+    } else {
+      sidecar(index).OnFrame(*frame, segment, packet, now_, out);
+    }
   }
-  ExecuteEffects(to, out);
+  ExecuteEffects(SidecarAddress(index), out);
 }
 
 void Simulation::SendToCaller(const Segment& segment) {
@@ -332,6 +377,7 @@
     ExecuteEffects(BalancerAddress(index), out);
   }
   for (auto& [index, host] : sidecars_) {
+    if (suspended_sidecars_.contains(index)) continue;
     Outbox out;
     const bool due = host->report_count > 0 &&
                      now_ - host->last_report >=
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -45,6 +45,15 @@
   /// @return a version with one route, which leads to a service.
   static std::shared_ptr<RouteTable> MakeRoutes(std::uint64_t version,
                                                 const std::string& service);
+  /// Address that SetRoutes() and MakeRoutes() route.
+  static Endpoint ServiceAddress();
+  /// Sets the frames that members understand, as a balancer learns it with the
+  /// next member lists; SegmentFrame has no request class with version 0.
+  void SetFrameVersion(int balancer, std::uint8_t version) {
+    frame_versions_[balancer] = version;
+  }
+  /// Upstreams report that they are warming up for this long after a start.
+  void SetWarmup(std::chrono::milliseconds time) { warmup_ = time; }
   /// Sets the members of a service at one balancer.
   void UpdateMembers(int balancer, const std::string& service,
                      const std::vector<int>& sidecars);
@@ -72,9 +81,14 @@
   void Suspend(int balancer) { suspended_[balancer]; }
   /// Continues it: the process handles what its socket kept.
   void Resume(int balancer);
+  /// Stops a sidecar's process; its sockets keep what arrives, up to a limit.
+  void SuspendSidecar(int index) { suspended_sidecars_[index]; }
+  void ResumeSidecar(int index);
   void SetLoss(double share) { loss_ = share; }
 
-  FakeCaller& AddCaller();
+  FakeCaller& AddCaller() { return AddCaller(ServiceAddress()); }
+  /// @param service address that the caller sends to.
+  FakeCaller& AddCaller(const Endpoint& service);
   void Run(std::chrono::microseconds time);
 
   Balancer& balancer(int index) { return *balancers_.at(index); }
@@ -128,6 +142,11 @@
   void Tick();
   void ExecuteEffects(InstanceAddress from, Outbox& out);
   void Deliver(InstanceAddress from, InstanceAddress to, const Bytes& datagram);
+  void DeliverToSidecar(InstanceAddress from, int index, const Bytes& datagram,
+                        bool backlog);
+  /// Handles an event of a sidecar's sockets, or keeps it while the process is
+  /// suspended.
+  void OnSidecarEvent(int index, std::function<void()> handle);
   void SendToCaller(const Segment& segment);
   void SendToBalancer(int balancer, const Segment& segment);
   /// @return the delay of a datagram in a queue, std::nullopt if it is full.
@@ -152,6 +171,10 @@
   std::map<InstanceAddress, Link> links_;
   /// Datagrams in the sockets of suspended balancers.
   std::map<int, std::deque<std::function<void()>>> suspended_;
+  /// The same of sidecars. @see OnSidecarEvent()
+  std::map<int, std::deque<std::function<void()>>> suspended_sidecars_;
+  std::map<int, std::uint8_t> frame_versions_;
+  std::chrono::milliseconds warmup_{0};
   std::uint64_t newest_version_ = 0;  ///< Of those given to any balancer.
   double loss_ = 0;
   int wrong_resets_ = 0;
