--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -7,6 +7,7 @@
 
 #include "platform/document_fetch.h"
 #include "platform/heartbeat.h"
+#include "platform/metrics_text.h"
 #include "platform/packet_header.h"
 #include "platform/route_document.h"
 #include "platform/settings.h"
@@ -276,4 +277,38 @@
   }
 }
 
+// Guards against families that appear twice, which scrapers refuse, and against
+// priorities without a limit on the number of labels.
+BOOST_AUTO_TEST_CASE(MetricsTellPrioritiesApart) {
+  class NullObserver final : public segment::Observer {
+    void OnDecision(const segment::FlowDecision&) override {}
+  };
+  NullObserver observer;
+  const segment::Sidecar sidecar(1, segment::TagOf("vault"), observer, {});
+  const auto text = FormatSidecarMetrics(sidecar, {}, 0);
+  const auto count = [](const std::string& from, const std::string& part) {
+    int found = 0;
+    for (auto at = from.find(part); at != std::string::npos;
+         at = from.find(part, at + 1)) {
+      ++found;
+    }
+    return found;
+  };
+  BOOST_TEST(count(text, "# TYPE cowslip_requests_waited_seconds") == 1);
+  BOOST_TEST(count(text, "cowslip_requests_waited_seconds_count{") == 6);
+  BOOST_TEST(count(text, "\ncowslip_requests_waiting 0") == 1);
+  BOOST_TEST(count(text, "\ncowslip_requests_dropped_total 0") == 1);
+  BOOST_TEST(count(text, "\ncowslip_idle_slots_while_waiting_total 0") == 1);
+
+  segment::BalancerStats stats;
+  stats.refused[1].no_answer_in_time = 3;
+  stats.refused[200].no_member = 4;
+  const auto refusals = FormatBalancerMetrics(stats, {}, 0, {});
+  BOOST_TEST(count(refusals, "# TYPE cowslip_refused_total") == 1);
+  BOOST_TEST(
+      count(refusals, "{priority=\"1\",reason=\"no_answer_in_time\"} 3") == 1);
+  BOOST_TEST(count(refusals, "{priority=\"other\",reason=\"no_member\"} 4") ==
+             1);
+}
+
 }  // namespace cowslip::platform_adapter
--- a/tests/segment/scheduled_site.h
+++ b/tests/segment/scheduled_site.h
@@ -122,6 +122,8 @@
   std::vector<RequestKind> kinds_;
   Simulation sim_;
   std::mt19937_64 random_;
+  /// Of its own, so that two runs have the same arrivals.
+  std::mt19937_64 random_arrivals_;
   std::vector<TimePoint> started_at_;
   std::vector<Call> calls_;
   std::vector<std::vector<FakeCaller*>> idle_callers_;
