Scheduling: memory of held packets counts what they take, requests on open flows get their target

Small packets took several times the memory that was counted. A process that has not seen the SYN of a flow now learns the latency target, too, from the first frame with a class.

--- a/packages/scheduling/include/cowslip/scheduling/held_packets.h
+++ b/packages/scheduling/include/cowslip/scheduling/held_packets.h
@@ -18,14 +18,21 @@
 /// The packets of one request that waits, in the order of their data.
 class HeldPackets {
  public:
-  /// Adds a packet unless its data is held already.
-  /// @return whether it was added.
-  bool Add(const DataPacket& packet);
+  /// Memory that a packet takes beside its bytes.
+  static constexpr std::size_t kOverhead = 64;
+
+  /// @return memory that a packet would take.
+  static std::size_t SizeOf(const DataPacket& packet) {
+    return kOverhead + packet.bytes.size();
+  }
+
+  /// Adds a packet, in the place of its data. @see Covers()
+  void Add(const DataPacket& packet);
   /// @return whether the data of a packet is held already.
   bool Covers(const DataPacket& packet) const;
   /// @return the packets in the order of their data.
   std::vector<Bytes> Take();
-  /// @return bytes of all packets.
+  /// @return memory of all packets.
   std::size_t bytes() const { return bytes_; }
   bool empty() const { return packets_.empty(); }
   /// @return the sequence number after the last data; 0 without a packet.
--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -53,7 +53,7 @@
   /// Memory of all requests, of the 64 MB that a sidecar has.
   static constexpr std::size_t kMaxBytes = 4'000'000;
   /// Memory that a waiting request takes beside its packets.
-  static constexpr std::size_t kRequestOverhead = 256;
+  static constexpr std::size_t kRequestOverhead = 192;
   /// Limits the time that a decision takes; the flows of an upstream are fewer.
   static constexpr std::size_t kMaxRequests = 4096;
   /// Longest queue for which a forecast checks which requests would be
--- a/packages/scheduling/src/held_packets.cc
+++ b/packages/scheduling/src/held_packets.cc
@@ -21,8 +21,7 @@
   });
 }
 
-bool HeldPackets::Add(const DataPacket& packet) {
-  if (Covers(packet)) return false;
+void HeldPackets::Add(const DataPacket& packet) {
   const auto place =
       std::upper_bound(packets_.begin(), packets_.end(), packet.seq,
                        [](std::uint32_t seq, const Held& held) {
@@ -30,8 +29,7 @@
                        });
   packets_.insert(place, {packet.seq, packet.end_seq,
                           Bytes(packet.bytes.begin(), packet.bytes.end())});
-  bytes_ += packet.bytes.size();
-  return true;
+  bytes_ += SizeOf(packet);
 }
 
 std::vector<Bytes> HeldPackets::Take() {
--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -56,7 +56,7 @@
                         .packets = {}};
   request.packets.Add(packet);
   const auto size = SizeOf(request);
-  if (packet.bytes.size() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
+  if (request.packets.bytes() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
       queue_.size() >= kMaxRequests) {
     Start(flow, terms, now);
     return PacketOutcome::kSend;
@@ -72,7 +72,7 @@
   if (found == queue_.end()) return PacketOutcome::kSend;
   auto& packets = found->second.packets;
   if (packets.Covers(packet)) return PacketOutcome::kDuplicate;
-  const auto size = packet.bytes.size();
+  const auto size = HeldPackets::SizeOf(packet);
   if (packets.bytes() + size > kMaxFlowBytes || bytes_ + size > kMaxBytes) {
     return PacketOutcome::kNoMemory;
   }
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -59,8 +59,8 @@
   bool other_service = false;
   /// A visited upstream accepts connections but would answer too late.
   bool overloaded = false;
-  /// Time left until the latency target of the request that follows a SYN;
-  /// std::nullopt if the route has none.
+  /// Time left until the latency target of the request that the packet belongs
+  /// to or that follows a SYN; std::nullopt if the route has none.
   std::optional<std::chrono::milliseconds> time_left;
   /// Class of the request; std::nullopt if it is not known, or if some hop does
   /// not understand frames that have one.
--- a/packages/segment/src/request_class.cc
+++ b/packages/segment/src/request_class.cc
@@ -26,10 +26,10 @@
     passed = std::chrono::duration_cast<std::chrono::milliseconds>(
                  now - pending.arrival) +
              SynAge(pending.segment.ack);
-    if (route.latency_target) {
-      frame.time_left =
-          Left(*route.latency_target * kAnswerPercent / 100, passed);
-    }
+  }
+  if (route.latency_target) {
+    frame.time_left =
+        Left(*route.latency_target * kAnswerPercent / 100, passed);
   }
   if (with_class) {
     frame.request =
--- a/tests/segment/scheduling_failure_test.cc
+++ b/tests/segment/scheduling_failure_test.cc
@@ -258,6 +258,7 @@
   }
   BOOST_TEST(host.sidecar.requests_waiting() == 1U);
   BOOST_TEST(host.Ask(3).size() == 1U);
+  BOOST_TEST(host.Ask(3, 1).size() == 1U);
 }
 
 // A suspended process: what can't be answered any more is dropped, duplicates
