--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -19,6 +19,8 @@
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
 #include "cowslip/segment/placement.h"                // IWYU pragma: export
 #include "cowslip/segment/placement_counts.h"         // IWYU pragma: export
+#include "cowslip/segment/refused_callers.h"          // IWYU pragma: export
+#include "cowslip/segment/request_dispatcher.h"       // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
 #include "cowslip/segment/round_trip_estimator.h"     // IWYU pragma: export
 #include "cowslip/segment/route_table.h"              // IWYU pragma: export
@@ -26,5 +28,6 @@
 #include "cowslip/segment/sidecar.h"                  // IWYU pragma: export
 #include "cowslip/segment/sidecar_state_table.h"      // IWYU pragma: export
 #include "cowslip/segment/sidecar_stats.h"            // IWYU pragma: export
+#include "cowslip/segment/syn_refusal.h"              // IWYU pragma: export
 #include "cowslip/segment/upstream_gate.h"            // IWYU pragma: export
 #include "cowslip/segment/upstream_liveness_timer.h"  // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/load_estimator.h
+++ b/packages/segment/include/cowslip/segment/load_estimator.h
@@ -37,6 +37,8 @@
   static constexpr double kErrorShare = 0.02;
   /// Departures that are remembered: more than an upstream has slots.
   static constexpr std::size_t kDepartureHistory = 64;
+  /// Responses of an upstream after which its service times count as measured.
+  static constexpr int kMeasuredResponses = 3;
 
   void SetSlots(std::uint32_t slots) { slots_ = slots == 0 ? 1 : slots; }
   /// A SYN was sent to the upstream, so a first request is expected.
@@ -61,6 +63,9 @@
   void OnRequestAborted(TimePoint now);
   /// Discards the load of an upstream that was replaced.
   void Reset(TimePoint now);
+  /// The process was suspended: the times of the requests in progress say
+  /// nothing about the upstream.
+  void OnResume(TimePoint now) { resumed_at_ = now; }
   /// @param warming_up whether the upstream is still warming up and so slower.
   void SetWarmup(bool warming_up) { warming_up_ = warming_up; }
 
@@ -98,6 +103,8 @@
   std::chrono::microseconds AnswerTime() const {
     return AnswerTime(last_update_);
   }
+  /// @return the mean time that a request takes a slot.
+  std::chrono::microseconds MeanServiceTime() const;
   /// @return for a service address whose flows usually carry many requests, the
   /// order in which upstreams are preferred for one more flow: the mean service
   /// time over the slots that the open flows leave, so that the upstream with
@@ -118,6 +125,9 @@
   void RecordError(const RequestStart& request, TimePoint now);
   /// Removes a request. @return whether it was in progress.
   bool Remove(const RequestStart& request, TimePoint now);
+  /// @return the factor by which an upstream that warms up is assumed to be
+  /// slower than the service times so far.
+  double WarmupFactor() const;
   /// @return when a request got its slot, std::nullopt if that is not known.
   std::optional<TimePoint> ServiceStart(const RequestStart& request) const;
   /// @return the expected work in seconds that is left of a request.
@@ -141,6 +151,8 @@
   std::array<TimePoint, kDepartureHistory> departure_times_{};
   std::uint32_t expected_requests_ = 0;
   bool warming_up_ = false;
+  TimePoint resumed_at_{};
+  int responses_ = 0;  ///< Since the upstream started, up to a few.
   /// Moving averages in seconds.
   double expected_time_ = 0;
   double measured_time_ = 0;
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -63,6 +63,9 @@
   /// @return the connections sent to the sidecar since its last report, 0 if
   /// they are so old that no report will count them.
   std::uint32_t Reservations(InstanceAddress sidecar, TimePoint now) const;
+  /// @return the capacity that a responsive sidecar has reported lately, less
+  /// what was reserved since; 0 without a recent report.
+  std::uint16_t Capacity(InstanceAddress sidecar, TimePoint now) const;
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
--- /dev/null
+++ b/packages/segment/src/balancer_refusal.cc
@@ -0,0 +1,89 @@
+// The part of Balancer that decides about SYNs that no member has accepted.
+#include <algorithm>
+
+#include "cowslip/segment/balancer.h"
+#include "syn_copy.h"
+
+namespace cowslip::segment {
+namespace {
+
+/// Makes the choice independent of the ranking of members.
+constexpr std::uint64_t kForcedChoiceSeed = 1;
+
+}  // namespace
+
+std::uint8_t Balancer::PriorityOf(const Segment& segment) const {
+  const auto* route = routes_->Find(segment.flow.service);
+  return route == nullptr ? RequestClass::kUnknownPriority : route->priority;
+}
+
+bool Balancer::ForceChoice(PendingPacket& syn, TimePoint now) {
+  // The member with the least expected wait would get the SYNs of all balancers
+  // until its next report. Of two that the flow chooses, the better one is
+  // nearly as good, and the load is spread.
+  const auto hash = HashFlow(syn.segment.flow, kForcedChoiceSeed);
+  std::uint32_t members = 0;
+  members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
+    members += sidecar_states_.Capacity(member, now) > 0 ? 1 : 0;
+    return false;
+  });
+  if (members == 0) return false;
+  const std::uint64_t choices[] = {hash % members, (hash >> 32) % members};
+  InstanceAddress best = 0;
+  std::uint32_t index = 0;
+  members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
+    if (sidecar_states_.Capacity(member, now) == 0) return false;
+    const bool is_choice = index == choices[0] || index == choices[1];
+    ++index;
+    if (!is_choice) return false;
+    const bool is_better =
+        best == 0 || sidecar_states_.ExpectedWaitUs(member, now) <
+                         sidecar_states_.ExpectedWaitUs(best, now);
+    if (is_better) best = member;
+    return false;
+  });
+  sidecar_states_.ClaimSlot(best, now);
+  ++stats_.forced;
+  syn.was_forced = true;
+  syn.next_hop = 0;
+  syn.frame.hops[0] = best;
+  syn.frame.hop_count = 1;
+  syn.frame.forced = true;
+  return true;
+}
+
+bool Balancer::OnSynNotAccepted(PendingPacket& syn, const Ack& ack,
+                                TimePoint now, Outbox& out) {
+  const auto& flow = syn.segment.flow;
+  const auto* route = routes_->Find(flow.service);
+  // Members of earlier builds decide by the latency target alone.
+  const bool classified = route != nullptr && route->IsClassified() &&
+                          members_.AllReadRequestClass();
+  const bool has_capacity =
+      members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
+        return sidecar_states_.Capacity(member, now) > 0;
+      });
+  syn.awaiting_ack_from = 0;
+  switch (syn_refusal_.Decide(syn, ack, classified, has_capacity, now)) {
+    case SynOutcome::kRefuse:
+      ++stats_.overloaded;
+      ++stats_.resets;
+      ++stats_.refused[PriorityOf(syn.segment)].no_answer_in_time;
+      LogDecision("refuse", "no_answer_in_time", flow);
+      out.SendReset(flow, 0);
+      return false;
+    case SynOutcome::kForce:
+      if (MayResend(syn, now) && ForceChoice(syn, now)) {
+        SendToCandidates(syn, now, out);
+        return true;
+      }
+      break;
+    case SynOutcome::kWait:
+      break;
+  }
+  const int doublings = std::min(syn.resends, RoundTripEstimator::kMaxBackoff);
+  syn.next_attempt = now + kSynRetryInterval * (1 << doublings);
+  return true;
+}
+
+}  // namespace cowslip::segment
--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -85,9 +85,10 @@
 
 void LoadEstimator::OnResponse(const RequestStart& request, TimePoint now) {
   const auto start = ServiceStart(request);
-  if (!Remove(request, now)) return;
+  if (!Remove(request, now) || request.arrival < resumed_at_) return;
   RecordError(request, now);
   if (!start) return;
+  if (responses_ < kMeasuredResponses) ++responses_;
   model_.OnServed(request.service, now - *start);
   flow_loads_.OnServed(request.service, now - *start, now);
 }
@@ -110,6 +111,7 @@
   Update(now);
   requests_.clear();
   expected_requests_ = 0;
+  responses_ = 0;
   flow_loads_.Reset(now);
   last_before_reset_ = started_requests_;
 }
@@ -126,9 +128,14 @@
   return measured_time_ == 0 ? 1 : expected_time_ / measured_time_;
 }
 
+double LoadEstimator::WarmupFactor() const {
+  // The times of an upstream that has answered include its being cold.
+  const bool is_assumed = warming_up_ && responses_ < kMeasuredResponses;
+  return is_assumed ? kWarmupFactor : 1.0;
+}
+
 double LoadEstimator::ServiceSeconds(const Endpoint& service) const {
-  return Seconds(model_.Mean(service)).count() *
-         (warming_up_ ? kWarmupFactor : 1.0);
+  return Seconds(model_.Mean(service)).count() * WarmupFactor();
 }
 
 double LoadEstimator::RemainingSeconds(const RequestStart& request,
@@ -138,7 +145,7 @@
   const auto elapsed = std::max(now - *start, Duration::zero());
   if (elapsed > kMaxRequestTime) return ServiceSeconds(request.service);
   return Seconds(model_.ExpectedRemaining(request.service, elapsed)).count() *
-         (warming_up_ ? kWarmupFactor : 1.0);
+         WarmupFactor();
 }
 
 double LoadEstimator::OutstandingSeconds(TimePoint now) const {
@@ -172,6 +179,10 @@
                         ServiceSeconds(service));
 }
 
+std::chrono::microseconds LoadEstimator::MeanServiceTime() const {
+  return ToMicroseconds(ServiceSeconds({}));
+}
+
 std::chrono::microseconds LoadEstimator::ExpectedWait(
     TimePoint now, const Endpoint& service) const {
   return ToMicroseconds(OutstandingSeconds(now) / slots_ +
--- a/tests/segment/load_estimator_test.cc
+++ b/tests/segment/load_estimator_test.cc
@@ -52,6 +52,19 @@
   BOOST_TEST((load.ExpectedWait(now + seconds(11), kService) < 2 * idle));
 }
 
+// Guards against an upstream that is taken for slow because its sidecar was
+// suspended while a request was in progress.
+BOOST_AUTO_TEST_CASE(TimesThroughASuspensionAreNoSamples) {
+  auto load = MakeTrained(1);
+  const auto now = kStart + seconds(1);
+  const auto before = load.MeanServiceTime();
+  const auto request = load.OnStarted(now, kService);
+  load.OnResume(now + seconds(3));
+  load.OnResponse(request, now + seconds(3));
+  BOOST_TEST((load.MeanServiceTime() == before));
+  BOOST_TEST(load.in_progress() == 0U);
+}
+
 // Guards against a long request in one slot hiding that the other one is soon
 // free.
 BOOST_AUTO_TEST_CASE(AnswerTimeFollowsTheFirstFreeSlot) {
