Gossip carries which data centres are evacuated

A change goes to all balancers, which notify up to 64 sidecars of the data centre twice, within the budget for repairs. Sets whose names exceed 400 bytes are fetched by a query, since earlier builds receive at most 2,048 bytes.

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cowslip/base.h"
+#include "cowslip/peers/evacuation_exchange.h"
 #include "cowslip/peers/message.h"
 #include "cowslip/peers/peer_table.h"
 
@@ -33,6 +34,8 @@
   bool watching = false;        ///< The sender watches the store.
   /// Entries that no instance can have written, and that were dropped.
   std::uint64_t refused = 0;
+  /// The evacuation of some data centre has begun or ended.
+  bool evacuations_changed = false;
   /// The sender asks to keep a copy of its configuration document.
   bool keep_document = false;
 };
@@ -72,6 +75,20 @@
   static constexpr double kRepairRate = 100;
   static constexpr double kRepairBurst = 200;
 
+  /// Sidecars of a data centre that each balancer tells at once of a change of
+  /// its evacuation; all sidecars learn of it with their next heartbeats.
+  static constexpr std::size_t kSidecarFanout = 64;
+  /// Balancers that each balancer which learns of a change from another one
+  /// tells of it at once.
+  static constexpr std::size_t kRelayFanout = 4;
+  /// Delay of the second notice to sidecars, for the case that the first is
+  /// lost.
+  static constexpr std::chrono::milliseconds kSecondNoticeDelay{150};
+  /// Total size of evacuated names, in bytes, up to which they are part of each
+  /// message. Instances of builds before evacuations receive at most 2,048
+  /// bytes, of which 16 entries take up to 1,500.
+  static constexpr std::size_t kMaxInlineNames = 400;
+
   /// Limit of the time by which the clock of an instance may be ahead.
   /// Incarnations are times of day; one that is too high could never be
   /// superseded.
@@ -111,6 +128,12 @@
   /// @param era of the store when it was read.
   MembershipUpdate OnStoreSnapshot(std::span<const PeerEntry> entries,
                                    std::uint64_t era, TimePoint now);
+  /// The store holds these evacuations.
+  /// @param current whether it was asked after the last suspension.
+  void OnStoredEvacuations(const EvacuationSnapshot& stored, bool current,
+                           TimePoint now);
+  /// The process was suspended, so that what it knows may be outdated.
+  void OnResume(TimePoint now) { evacuations_.OnResume(now); }
   /// Removes an instance that is missing from the store.
   void Remove(InstanceAddress address) { table_.Remove(address); }
 
@@ -127,6 +150,11 @@
   /// @return the messages to send, and removes them.
   std::vector<Outgoing> TakeOutgoing() { return std::exchange(outgoing_, {}); }
 
+  const EvacuationExchange& evacuations() const { return evacuations_; }
+  /// @return the changes of evacuations since the last call.
+  std::vector<EvacuationChange> TakeEvacuationChanges() {
+    return std::exchange(evacuation_changes_, {});
+  }
   const PeerTable& table() const { return table_; }
   const PeerEntry& self() const { return self_; }
   /// @return the entry of an earlier process of this instance, if one has been
@@ -165,6 +193,15 @@
   /// present one.
   void SendStoreEra(const Message& from);
   Message MakeMessage(TimePoint now) const;
+  /// @return a message with all evacuated names, whatever their size.
+  Message MakeEvacuationMessage() const;
+  /// Handles the part of a message that tells of evacuations, and answers it.
+  void MergeEvacuations(const Message& message);
+  /// Records changes of evacuations. A balancer forwards them.
+  /// @param relays whether to tell other balancers, too.
+  void SpreadEvacuations(bool relays);
+  /// Tells sidecars of the data centres whose evacuation has changed.
+  void NotifySidecars();
   void SendTable(InstanceAddress to, bool to_balancer);
   /// Sends entries within the budget.
   void SendEntries(InstanceAddress to, std::span<const PeerEntry> entries);
@@ -199,6 +236,12 @@
   std::map<InstanceAddress, TimePoint> last_sync_;
   std::array<TimePoint, TableDigest::kRanges> asked_at_{};
   TokenBucket repair_budget_{kRepairRate, kRepairBurst};
+  EvacuationExchange evacuations_;
+  std::vector<EvacuationChange> evacuation_changes_;
+  bool knows_evacuations_ = false;  ///< Since the last SpreadEvacuations().
+  /// Data centres whose sidecars get a second notice at `second_notice_at_`.
+  DataCenterNames concerned_;
+  TimePoint second_notice_at_{};
   bool connected_ = false;  ///< A balancer has answered since the start.
   bool complete_ = false;
   std::optional<TimePoint> first_snapshot_at_;
--- a/packages/peers/include/cowslip/peers/message.h
+++ b/packages/peers/include/cowslip/peers/message.h
@@ -7,6 +7,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/peers/config_version.h"
+#include "cowslip/peers/evacuation_report.h"
 #include "cowslip/peers/peer_entry.h"
 #include "cowslip/peers/table_digest.h"
 
@@ -39,6 +40,8 @@
   /// Ranges whose entries the sender asks for.
   std::vector<RangeIndex> wanted;
   std::vector<PeerEntry> entries;
+  /// std::nullopt if the sender is of a build before evacuations.
+  std::optional<EvacuationReport> evacuations;
 };
 
 /// Limit of entries in one message, so that it fits a datagram.
--- a/packages/peers/src/gossip.cc
+++ b/packages/peers/src/gossip.cc
@@ -26,10 +26,22 @@
   return entry->sequence <= kFirstChanges ? kNewProcess : kOther;
 }
 
+std::size_t NamesSize(const EvacuationReport& report) {
+  std::size_t size = 0;
+  const auto add = [&size](const DataCenterNames& names) {
+    for (const auto& name : names) size += name.size();
+  };
+  if (report.state) add(report.state->names);
+  add(report.held.names);
+  return size;
+}
+
 }  // namespace
 
 Gossip::Gossip(PeerEntry self, std::uint64_t seed)
-    : self_(std::move(self)), random_(seed) {
+    : self_(std::move(self)),
+      random_(seed),
+      evacuations_(self_.balancer, seed) {
   table_.Merge(self_);
 }
 
@@ -46,6 +58,15 @@
   message.digest = table_.Digest(!self_.balancer).total();
   message.complete = complete_;
   message.compares_ranges = true;
+  message.evacuations = evacuations_.Report(now);
+  message.evacuations->names_omitted =
+      NamesSize(*message.evacuations) > kMaxInlineNames;
+  return message;
+}
+
+Message Gossip::MakeEvacuationMessage() const {
+  auto message = MakeMessage(now_);
+  message.evacuations->names_omitted = false;
   return message;
 }
 
@@ -205,6 +226,8 @@
   newest_store_era_ = std::max(newest_store_era_, message.store_era);
   update.keep_document = message.keep_document;
   if (message.balancer) connected_ = true;
+  MergeEvacuations(message);
+  update.evacuations_changed = !evacuation_changes_.empty();
   const auto verified = now - message.verified_age;
   if (message.verified_config != 0 && verified > verified_at_) {
     OnStoreVersion(message.verified_config, verified);
@@ -237,6 +260,72 @@
   return update;
 }
 
+void Gossip::MergeEvacuations(const Message& message) {
+  const auto response = evacuations_.OnMessage(message.sender, message.balancer,
+                                               message.config.number != 0,
+                                               message.evacuations, now_);
+  if (response != EvacuationResponse::kNone) {
+    auto reply = MakeEvacuationMessage();
+    if (response == EvacuationResponse::kQuery) {
+      reply = MakeMessage(now_);
+      // The answer has all names. Its number confirms nothing.
+      reply.evacuations->query = std::max(reply.evacuations->query, 1U);
+    }
+    reply.evacuations->answer = message.evacuations->query;
+    outgoing_.push_back({message.sender, std::move(reply)});
+  }
+  SpreadEvacuations(/*relays=*/true);
+}
+
+void Gossip::OnStoredEvacuations(const EvacuationSnapshot& stored, bool current,
+                                 TimePoint now) {
+  now_ = now;
+  const bool was_known = evacuations_.state().known();
+  evacuations_.OnStored(stored, current, now);
+  SpreadEvacuations(/*relays=*/false);
+  if (was_known && !evacuation_changes_.empty()) Broadcast();
+}
+
+void Gossip::SpreadEvacuations(bool relays) {
+  const auto changes = evacuations_.TakeChanges(now_);
+  for (const auto& [waiting, query] : evacuations_.TakeWaiting(now_)) {
+    auto reply = MakeEvacuationMessage();
+    reply.evacuations->answer = query;
+    outgoing_.push_back({waiting, std::move(reply)});
+  }
+  const bool first =
+      !std::exchange(knows_evacuations_, evacuations_.state().known());
+  if (changes.empty()) return;
+  evacuation_changes_.insert(evacuation_changes_.end(), changes.begin(),
+                             changes.end());
+  // What a balancer learns at its start is not new to the others.
+  if (!self_.balancer || first) return;
+  concerned_.clear();
+  for (const auto& change : changes) concerned_.insert(change.data_center);
+  NotifySidecars();
+  second_notice_at_ = now_ + kSecondNoticeDelay;
+  if (!relays) return;
+  for (const auto to : PickBalancers(kRelayFanout)) {
+    outgoing_.push_back({to, MakeEvacuationMessage()});
+  }
+}
+
+void Gossip::NotifySidecars() {
+  std::vector<InstanceAddress> sidecars;
+  for (const auto& [address, entry] : table_.entries()) {
+    // Those of earlier builds publish no data centre.
+    const bool concerned = !entry.balancer && !entry.left &&
+                           concerned_.contains(entry.data_center);
+    if (concerned) sidecars.push_back(address);
+  }
+  std::shuffle(sidecars.begin(), sidecars.end(), random_);
+  if (sidecars.size() > kSidecarFanout) sidecars.resize(kSidecarFanout);
+  for (const auto to : sidecars) {
+    if (!MayRepair()) return;
+    outgoing_.push_back({to, MakeEvacuationMessage()});
+  }
+}
+
 bool Gossip::MaySync(InstanceAddress with) {
   auto& last = last_sync_[with];
   if (last != TimePoint{} && now_ - last < kSyncInterval) return false;
@@ -368,10 +457,23 @@
 void Gossip::OnTick(TimePoint now) {
   now_ = now;
   ForwardChanges();
-  if (now - last_heartbeat_ < (connected_ ? kInterval : kHelloInterval)) return;
+  SpreadEvacuations(/*relays=*/false);
+  if (!concerned_.empty() && now >= second_notice_at_) {
+    NotifySidecars();
+    concerned_.clear();
+  }
+  const bool asks = evacuations_.NeedsAnswer(now);
+  const auto interval = !connected_ ? kHelloInterval
+                        : asks      ? evacuations_.QueryInterval()
+                                    : kInterval;
+  if (now - last_heartbeat_ < interval) return;
   last_heartbeat_ = now;
+  if (connected_ && asks) evacuations_.OnQuerySent();
   // Until a balancer answers, the seeds may be more up to date than the table.
-  auto targets = PickBalancers(connected_ ? kFanout : kForwardFanout);
+  const bool asks_soon = asks && interval < kInterval;
+  auto targets = PickBalancers(!connected_ ? kForwardFanout
+                               : asks_soon ? kDirectFanout
+                                           : kFanout);
   if (!connected_) {
     for (const auto seed : seeds_) {
       if (seed == self_.address) continue;
@@ -382,7 +484,7 @@
   }
   for (const auto to : targets) {
     auto message = MakeMessage(now);
-    message.want_all = !connected_;
+    message.want_all = !connected_ || evacuations_.NeedsHello(now);
     message.entries.push_back(self_);
     outgoing_.push_back({to, std::move(message)});
   }
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <cstring>
 #include <limits>
+#include <utility>
 
 #include "peers_generated.h"
 
@@ -15,6 +16,8 @@
 /// shorter.
 constexpr std::size_t kMaxName = 200;
 
+using NameList = flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>;
+
 bool IsValidName(const flatbuffers::String* name) {
   return name == nullptr || name->size() <= kMaxName;
 }
@@ -64,6 +67,59 @@
   return true;
 }
 
+flatbuffers::Offset<wire::Evacuations> ToWire(
+    const EvacuationReport& report, flatbuffers::FlatBufferBuilder& builder) {
+  const auto add_names = [&](const DataCenterNames& names) {
+    std::vector<flatbuffers::Offset<flatbuffers::String>> texts;
+    if (report.names_omitted || names.empty()) {
+      return flatbuffers::Offset<NameList>{};
+    }
+    for (const auto& name : names) texts.push_back(builder.CreateString(name));
+    return builder.CreateVector(texts);
+  };
+  const auto state = report.state.value_or(EvacuationSnapshot{});
+  const auto names = add_names(state.names);
+  const auto held = add_names(report.held.names);
+  return wire::CreateEvacuations(
+      builder, report.state.has_value(), state.position.era,
+      state.position.revision, names, report.names_omitted,
+      report.names_omitted ? report.digest : 0, report.held.position.era,
+      report.held.position.revision, held, ToMilliseconds(report.hold_left),
+      ToMilliseconds(report.age), report.confirmed, report.query,
+      report.answer);
+}
+
+/// @return false if there are too many names, or one is invalid.
+bool ReadNames(const NameList* raw, DataCenterNames& names) {
+  if (raw == nullptr) return true;
+  if (raw->size() > EvacuationSnapshot::kMaxNames) return false;
+  for (const auto* name : *raw) {
+    if (!EvacuationSnapshot::IsValidName(name->string_view())) return false;
+    names.insert(name->str());
+  }
+  return true;
+}
+
+std::optional<EvacuationReport> FromWire(const wire::Evacuations& raw) {
+  EvacuationReport report;
+  EvacuationSnapshot state;
+  state.position = {raw.era(), raw.revision()};
+  report.held.position = {raw.held_era(), raw.held_revision()};
+  if (!ReadNames(raw.names(), state.names) ||
+      !ReadNames(raw.held(), report.held.names)) {
+    return std::nullopt;
+  }
+  if (raw.known()) report.state = std::move(state);
+  report.names_omitted = raw.omitted();
+  report.digest = raw.digest();
+  report.hold_left = std::chrono::milliseconds(raw.hold_left_ms());
+  report.age = std::chrono::milliseconds(raw.age_ms());
+  report.confirmed = raw.confirmed();
+  report.query = raw.query();
+  report.answer = raw.answer();
+  return report;
+}
+
 }  // namespace
 
 bool IsMessage(ByteView datagram) {
@@ -88,6 +144,9 @@
     runs.push_back(run.first);
     digests.insert(digests.end(), run.digests.begin(), run.digests.end());
   }
+  const auto evacuations = message.evacuations
+                               ? ToWire(*message.evacuations, builder)
+                               : flatbuffers::Offset<wire::Evacuations>{};
   builder.Finish(wire::CreateMessageDirect(
       builder, message.sender, message.balancer, message.config.number,
       message.verified_config, ToMilliseconds(message.verified_age),
@@ -95,7 +154,7 @@
       message.complete, message.keep_document, message.compares_ranges,
       runs.empty() ? nullptr : &runs, digests.empty() ? nullptr : &digests,
       message.wanted.empty() ? nullptr : &message.wanted, message.store_era,
-      message.config.era, message.config.digest));
+      message.config.era, message.config.digest, evacuations));
   Bytes datagram(kPrefix.size() + builder.GetSize());
   std::memcpy(datagram.data(), kPrefix.data(), kPrefix.size());
   std::memcpy(datagram.data() + kPrefix.size(), builder.GetBufferPointer(),
@@ -141,6 +200,10 @@
       message.entries.push_back(FromWire(*entry));
     }
   }
+  if (raw->evacuations() != nullptr) {
+    message.evacuations = FromWire(*raw->evacuations());
+    if (!message.evacuations) return std::nullopt;
+  }
   return message;
 }
 
--- a/tests/support/gossip_fleet.h
+++ b/tests/support/gossip_fleet.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -53,6 +54,9 @@
   void SetLoss(double loss) { loss_ = loss; }
   /// Drops what an instance sends; it receives all the same.
   void Mute(InstanceAddress address) { mute_ = address; }
+  /// Makes an instance behave as a build before evacuations: it neither sends
+  /// nor reads them.
+  void MakeEarlierBuild(InstanceAddress address) { earlier_.insert(address); }
   /// Makes all instances behave as builds that exchange whole tables only.
   void ExchangeWholeTables() { whole_tables_ = true; }
   /// Sets the newest era of the store that an instance has seen. Instances that
@@ -84,6 +88,7 @@
       }
     }
     for (auto& [from, out] : sent) {
+      if (earlier_.contains(from)) out.message.evacuations.reset();
       if (whole_tables_) out.message.compares_ranges = false;
       const auto datagram = Encode(out.message);
       bytes_ += datagram.size();
@@ -92,8 +97,9 @@
       const bool lost =
           std::uniform_real_distribution<double>(0, 1)(random_) < loss_;
       if (target == instances_.end() || lost || from == mute_) continue;
-      const auto message = Decode(datagram);
+      auto message = Decode(datagram);
       BOOST_REQUIRE(message.has_value());
+      if (earlier_.contains(out.to)) message->evacuations.reset();
       const auto update = target->second->OnMessage(*message, now_);
       auto& era = store_eras_[out.to];
       if (update.store_era > era) SetStoreEra(out.to, update.store_era);
@@ -105,6 +111,7 @@
   TimePoint now_{std::chrono::seconds(50)};
   double loss_ = 0;
   InstanceAddress mute_ = 0;
+  std::set<InstanceAddress> earlier_;
   bool whole_tables_ = false;
   std::uint64_t bytes_ = 0;
   std::uint64_t largest_burst_ = 0;
