Sidecars of evacuated data centres accept no SYN

Cause: a balancer with an outdated state could place connections in an evacuated data centre; only the sidecar is beside the upstream.

Change: Sidecar::SetDataCenterStatus(). Unless it is kOpen, a SYN is passed on with reason=evacuated, evacuations_unknown or evacuations_unconfirmed. A frame counts the refusals because of an evacuation in the field that SYNs don't use (`asked`), which earlier builds pass on; if all of the list refused, the acknowledgement says so in a former padding byte, and the balancer resets the first SYN at once (reason=evacuated). A sidecar that publishes that it is open counts as open whatever its last acknowledgement said; otherwise a data centre that is taken back would get no connection. Lost flows of an evacuated data centre are still reset.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -8,6 +8,7 @@
 #include "cowslip/segment/balancer.h"                 // IWYU pragma: export
 #include "cowslip/segment/balancer_stats.h"           // IWYU pragma: export
 #include "cowslip/segment/candidate_selector.h"       // IWYU pragma: export
+#include "cowslip/segment/data_center_status.h"       // IWYU pragma: export
 #include "cowslip/segment/flow_knowledge.h"           // IWYU pragma: export
 #include "cowslip/segment/flow_state_table.h"         // IWYU pragma: export
 #include "cowslip/segment/frame.h"                    // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -64,6 +64,11 @@
     sidecar_states_.Erase(sidecar);
   }
 
+  /// A sidecar has published that it accepts new connections.
+  void OnSidecarOpened(InstanceAddress sidecar) {
+    sidecar_states_.OnListedOpen(sidecar);
+  }
+
   /// Handles a packet from a caller.
   void OnPacket(const Segment& segment, ByteView packet, TimePoint now,
                 Outbox& out);
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -30,6 +30,8 @@
   std::uint64_t uncertain_lookups = 0;
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
+  /// SYNs refused because all visited data centres are evacuated.
+  std::uint64_t evacuated = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -44,7 +44,8 @@
   InstanceAddress balancer = 0;
   std::uint8_t place = 0;  ///< Index of the hop that receives the frame.
   std::uint8_t hop_count = 0;
-  /// Upstreams that were given the packet and returned it.
+  /// Upstreams that were given the packet; of a SYN, sidecars that refused it
+  /// because their data centre is evacuated.
   std::uint8_t asked = 0;
   /// No candidate had a free slot: the receiver, which has the least expected
   /// wait, must accept the connection.
@@ -70,6 +71,9 @@
   std::uint8_t best_place = 0;
   std::array<InstanceAddress, kMaxHops> hops{};
 
+  /// @return whether all candidates of a SYN have refused it because of an
+  /// evacuation. Sidecars of builds before evacuations don't count.
+  bool AllEvacuated() const { return hop_count > 0 && asked >= hop_count; }
   /// @return whether a sidecar is on the candidate list.
   bool HasHop(InstanceAddress sidecar) const {
     const auto* end = hops.begin() + hop_count;
@@ -100,6 +104,9 @@
   /// The SYN ran nowhere: all visited upstreams that accept connections would
   /// answer too late.
   bool overloaded = false;
+  /// The SYN ran nowhere: all sidecars of the list refused it because their
+  /// data centres are evacuated.
+  bool evacuated = false;
   FlowKey flow;
   /// Acknowledgement number of the caller's packet.
   std::uint32_t caller_ack = 0;
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -6,6 +6,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/segment/admission.h"
+#include "cowslip/segment/data_center_status.h"
 #include "cowslip/segment/flow_knowledge.h"
 #include "cowslip/segment/flow_state_table.h"
 #include "cowslip/segment/frame.h"
@@ -71,8 +72,19 @@
   /// Stops accepting new connections, as the instance is stopping.
   void StopAccepting() { stopping_ = true; }
 
-  /// @return whether new connections are accepted.
+  /// Sets what is known of the evacuation of the own data centre. Without it,
+  /// the data centre counts as open.
+  void SetDataCenterStatus(DataCenterStatus status) { data_center_ = status; }
+
+  /// @return whether this sidecar is published as one that accepts new
+  /// connections. Right after a suspension it is, although it doesn't accept
+  /// any yet: balancers need not change their lists for a few milliseconds.
   bool open() const {
+    return upstream_ready() && (data_center_ == DataCenterStatus::kOpen ||
+                                data_center_ == DataCenterStatus::kUnconfirmed);
+  }
+  /// @return whether the upstream takes new connections.
+  bool upstream_ready() const {
     return upstream_state_.open() && !stopping_ && !liveness_.is_missing();
   }
   /// @return whether there is no upstream, so that no flow can be owned here.
@@ -148,6 +160,10 @@
   void TrackRequest(FlowEntry& entry, const Segment& segment, TimePoint now);
   void EndRequest(FlowEntry& entry, TimePoint now);
   void ReleaseLoad(FlowEntry& entry, TimePoint now);
+  /// @return why SYNs are not accepted, for the log.
+  std::string_view ClosedReason() const;
+  /// Counts a SYN that this sidecar refuses if its data centre is evacuated.
+  void CountRefusal(SegmentFrame& frame);
   void Acknowledge(const SegmentFrame& frame, AckStatus status,
                    const Segment& segment, TimePoint now, Outbox& out,
                    InstanceAddress next = 0);
@@ -160,6 +176,7 @@
   Observer* observer_;
   UnseenFlows unseen_flows_;
   bool stopping_ = false;
+  DataCenterStatus data_center_ = DataCenterStatus::kOpen;
   std::uint64_t newest_config_ = 0;
   TimePoint config_received_{};
   /// Some balancer has used the newest configuration since the store last came
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -34,6 +34,10 @@
   void OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now);
   /// A packet to the sidecar was not acknowledged in time.
   void OnTimeout(InstanceAddress sidecar, TimePoint now);
+  /// A sidecar has published that it accepts new connections. Its last
+  /// acknowledgement may say otherwise, and there is no further one while it
+  /// gets no packets.
+  void OnListedOpen(InstanceAddress sidecar);
   /// Discards the state of a sidecar that has restarted.
   void Erase(InstanceAddress sidecar) { contacts_.erase(sidecar); }
 
--- a/packages/segment/include/cowslip/segment/sidecar_stats.h
+++ b/packages/segment/include/cowslip/segment/sidecar_stats.h
@@ -21,6 +21,8 @@
   /// SYNs dropped because they had waited through a suspension.
   std::uint64_t outdated = 0;
   std::uint64_t stale_balancer = 0;  ///< SYNs with an outdated configuration.
+  /// SYNs refused because the data centre is evacuated.
+  std::uint64_t evacuated = 0;
   /// From sending a request to the upstream until the first data of its
   /// response.
   LatencyHistogram request_time;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -337,10 +337,11 @@
     // Every member forwarded the SYN; OnTick() sends it again.
     if (found == pending_.end()) return;
     auto& syn = found->second;
-    if (ack.overloaded && IsOnlyTransmission(syn)) {
-      ++stats_.overloaded;
+    if ((ack.overloaded || ack.evacuated) && IsOnlyTransmission(syn)) {
+      ++(ack.evacuated ? stats_.evacuated : stats_.overloaded);
       ++stats_.resets;
-      LogDecision("refuse", "no_answer_in_time", ack.flow);
+      LogDecision("refuse", ack.evacuated ? "evacuated" : "no_answer_in_time",
+                  ack.flow);
       out.SendReset(ack.flow, 0);
       pending_.erase(found);
       return;
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -119,6 +119,7 @@
   ack.next = raw->next();
   ack.free_slots = raw->free_slots();
   ack.overloaded = raw->overloaded() != 0;
+  ack.evacuated = raw->evacuated() != 0;
   return ack;
 }
 
@@ -153,7 +154,8 @@
                     ack.open ? 1 : 0, ack.config, ack.expected_wait_us,
                     ack.flow.caller.address, ack.flow.service.address,
                     ack.flow.caller.port, ack.flow.service.port, ack.caller_ack,
-                    ack.next, ack.free_slots, ack.overloaded ? 1 : 0),
+                    ack.next, ack.free_slots, ack.overloaded ? 1 : 0,
+                    ack.evacuated ? 1 : 0),
       out);
 }
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -90,10 +90,9 @@
     Forward(frame, segment, packet, now, out);
     return;
   }
-  if (!open()) {
-    LogDecision("pass_on",
-                stopping_ ? "stopping" : ToString(upstream_state_.state()),
-                segment.flow, frame);
+  if (!open() || data_center_ != DataCenterStatus::kOpen) {
+    CountRefusal(frame);
+    LogDecision("pass_on", ClosedReason(), segment.flow, frame);
     Forward(frame, segment, packet, now, out);
     return;
   }
@@ -373,7 +372,7 @@
   if (owned) {
     // The upstream owned the flow and has lost it in a restart. The caller's
     // next attempt needs an upstream that accepts connections.
-    if (!open()) {
+    if (!upstream_ready()) {
       LogDecision("lost_flow", "upstream_not_ready", segment.flow,
                   SegmentFrame{});
       return;
@@ -490,6 +489,7 @@
   ack.caller_ack = segment.ack;
   ack.next = next;
   ack.overloaded = frame.overloaded;
+  ack.evacuated = ack.syn && frame.AllEvacuated();
   out.SendAck(frame.balancer, ack);
 }
 
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -21,6 +21,13 @@
   if (contact.misses == kMaxMisses) contact.last_probe = now;
 }
 
+void SidecarStateTable::OnListedOpen(InstanceAddress sidecar) {
+  const auto found = contacts_.find(sidecar);
+  if (found == contacts_.end() || found->second.open) return;
+  found->second.open = true;
+  found->second.has_report = false;
+}
+
 bool SidecarStateTable::IsUnresponsive(InstanceAddress sidecar) const {
   const auto found = contacts_.find(sidecar);
   return found != contacts_.end() && found->second.misses >= kMaxMisses;
