Operators evacuate data centres by op/evacuate/NAME

Cause: the balancers read and watched op/config only.

Change: ConfigFollower lists and watches op/, with as many calls as before, unless there are several pages; the document is applied on whichever page it is. Balancers give what they read to the gossip, sidecars ask the gossip before each packet whether their data centre is open. Log event=evacuation, cowslip_evacuated_data_centers, cowslip_evacuation_refused_total. The receive buffer has 32 kB, as sets of long names need 27. Stand-ins: the store removes keys as operators do; the instances of a site are in three data centres.

Result: platform_evacuation_store_test (11 cases) and platform_evacuation_test (4 cases with real processes) pass; platform_store_client, platform_store_return, platform_unseen_flows and platform_process tests pass unchanged.

--- a/tests/platform/site_fixture.h
+++ b/tests/platform/site_fixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <memory>
 
 #include "platform/soak/guarantee_checker.h"
@@ -12,7 +13,13 @@
 struct SiteFixture {
   explicit SiteFixture(int number) {
     LastReason<AdapterError> reason;
-    site = standins::Site::Start(number, checks.Events(), reason);
+    auto events = checks.Events();
+    events.on_syn = [this, check = events.on_syn](auto& upstream,
+                                                  const auto& segment) {
+      ++syns[&upstream];
+      check(upstream, segment);
+    };
+    site = standins::Site::Start(number, std::move(events), reason);
     BOOST_REQUIRE_MESSAGE(site != nullptr, reason.Message());
     checks.Attach(*site);
   }
@@ -24,6 +31,8 @@
 
   soak::GuaranteeChecker checks;
   std::unique_ptr<standins::Site> site;
+  /// SYNs that each upstream has received.
+  std::map<const standins::UpstreamHost*, int> syns;
 };
 
 }  // namespace cowslip::platform_adapter::test
--- a/tests/platform/store_fixture.h
+++ b/tests/platform/store_fixture.h
@@ -66,6 +66,8 @@
   bool follows_previous = false;
   std::uint64_t verified = 0;
   std::uint64_t failed = 0;
+  /// The evacuations that the follower has reported, in order.
+  std::vector<peers::EvacuationSnapshot> evacuations;
   ConfigFollower follower{
       loop,
       client,
@@ -75,7 +77,10 @@
          ++verified;
          on_verified();
        },
-       [this] { ++failed; }}};
+       [this] { ++failed; },
+       [this](const peers::EvacuationSnapshot& stored, bool) {
+         evacuations.push_back(stored);
+       }}};
 };
 
 }  // namespace cowslip::platform_adapter::test
