--- a/tests/platform/evacuation_test.cc
+++ b/tests/platform/evacuation_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 
+#include "platform/standins/packet_writer.h"
 #include "tests/platform/loop_runner.h"
 #include "tests/platform/site_fixture.h"
 
@@ -24,8 +25,44 @@
   explicit Fixture(int number) : SiteFixture(number) {
     std::map<Endpoint, std::string> routes;
     routes[Site::RouteAddress(0)] = Site::ServiceName(0);
-    checks.OnConfigured(site->Configure(routes), routes);
+    config = site->Configure(routes);
+    checks.OnConfigured(config, routes);
     RunFor(site->loop(), seconds(2));
+    outdated_balancer.address = (127U << 24U) | (75U << 16U) |
+                                (static_cast<unsigned>(number) << 8U) | 1U;
+    LastReason<AdapterError> reason;
+    socket = UdpSocket::Bind(outdated_balancer, reason);
+    BOOST_REQUIRE_MESSAGE(socket.has_value(), reason.Message());
+  }
+
+  /// Sends the SYN of a new flow to a sidecar, as a balancer does that knows of
+  /// no evacuation.
+  void SendSynTo(int data_center) {
+    segment::Segment syn;
+    syn.flow = {{outdated_balancer.address, ++next_port},
+                Site::RouteAddress(0)};
+    syn.syn = true;
+    segment::SegmentFrame frame;
+    frame.config = config;
+    frame.service = segment::TagOf(Site::ServiceName(0));
+    frame.balancer = outdated_balancer.address;
+    frame.hop_count = 1;
+    frame.hops[0] = site->sidecars()[data_center]->options().readiness.address;
+    Bytes datagram;
+    segment::AppendSegmentFrame(
+        frame, standins::WritePacket(syn, PacketSender::kCaller), datagram);
+    constexpr std::uint16_t kInternalPort = 7720;
+    socket->Send({frame.hops[0], kInternalPort}, datagram);
+  }
+  /// Sends SYNs to a sidecar for a time, none of which may be accepted.
+  void CheckRefuses(int data_center, milliseconds time) {
+    const int before = SynsAt(data_center);
+    for (const auto end = Now() + time; Now() < end;) {
+      SendSynTo(data_center);
+      RunFor(site->loop(), milliseconds(2));
+    }
+    RunFor(site->loop(), milliseconds(50));
+    BOOST_TEST(SynsAt(data_center) == before);
   }
 
   static std::string KeyOf(int data_center) {
@@ -63,6 +100,7 @@
     const int before = SynsAt(data_center);
     BOOST_TEST(Count(OpenFlows(40), CallState::kAnswered) == 40);
     BOOST_TEST(SynsAt(data_center) == before);
+    CheckRefuses(data_center, milliseconds(50));
   }
   void CheckOpen(int data_center) {
     const int before = SynsAt(data_center);
@@ -74,6 +112,11 @@
     RunUntil(site->loop(), seconds(1), [&] { return !machine.IsRunning(); });
     machine.RestartIfEnded();
   }
+
+  std::uint64_t config = 0;
+  Endpoint outdated_balancer;
+  std::optional<UdpSocket> socket;
+  std::uint16_t next_port = 2000;
 };
 
 struct EvacuationFixture : Fixture {
@@ -94,6 +137,11 @@
 BOOST_FIXTURE_TEST_CASE(EvacuatedDataCenterGetsNoConnection,
                         EvacuationFixture) {
   const auto open_flows = OpenFlows(30);
+  // The frames of the outdated balancer are accepted without an evacuation.
+  const int before_frames = SynsAt(0);
+  SendSynTo(0);
+  RunFor(site->loop(), milliseconds(50));
+  BOOST_TEST(SynsAt(0) == before_frames + 1);
   BOOST_TEST(SynsAt(0) > 0);
   Evacuate(0);
   CheckClosed(0);
@@ -129,6 +177,8 @@
   site->store().SetFault(StoreFault::kNoResponse);
   site->store().CutWatches();
   Restart(*site->sidecars()[0]);
+  // From its first moment on, before it has heard of anything.
+  CheckRefuses(0, seconds(2));
   CheckClosed(0);
   for (auto& balancer : site->balancers()) Restart(*balancer);
   Restart(*site->sidecars()[0]);
@@ -151,6 +201,7 @@
   RunFor(site->loop(), seconds(1));
   const int before = SynsAt(0);
   for (auto* machine : {&sidecar, &balancer}) machine->Signal(SIGCONT);
+  CheckRefuses(0, seconds(1));
   for (int i = 0; i < 40; ++i) {
     site->Open(Site::RouteAddress(0));
     RunFor(site->loop(), milliseconds(10));
