--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -32,6 +32,8 @@
   std::uint64_t uncertain_lookups = 0;
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
+  /// SYNs refused because all visited data centres are evacuated.
+  std::uint64_t evacuated = 0;
   /// Refused SYNs by the priority of their route.
   struct Refusals {
     std::uint64_t no_route = 0;
--- a/packages/segment/include/cowslip/segment/syn_refusal.h
+++ b/packages/segment/include/cowslip/segment/syn_refusal.h
@@ -38,11 +38,12 @@
   }
   const RefusedCallers& refused_callers() const { return refused_callers_; }
 
- private:
   /// @return whether no transmission of the SYN may still reach an upstream, so
   /// that a reset truly means that nothing ran.
   static bool HasRunNowhere(const PendingPacket& syn, bool classified);
 
+ private:
+
   RefusedCallers refused_callers_;
 };
 
--- a/packages/segment/src/balancer_refusal.cc
+++ b/packages/segment/src/balancer_refusal.cc
@@ -63,6 +63,13 @@
       members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
         return sidecar_states_.Capacity(member, now) > 0;
       });
+  if (ack.evacuated && SynRefusal::HasRunNowhere(syn, classified)) {
+    ++stats_.evacuated;
+    ++stats_.resets;
+    LogDecision("refuse", "evacuated", flow);
+    out.SendReset(flow, 0);
+    return false;
+  }
   syn.awaiting_ack_from = 0;
   switch (syn_refusal_.Decide(syn, ack, classified, has_capacity, now)) {
     case SynOutcome::kRefuse:
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -285,7 +285,7 @@
   };
   NullObserver observer;
   const segment::Sidecar sidecar(1, segment::TagOf("vault"), observer, {});
-  const auto text = FormatSidecarMetrics(sidecar, {}, 0, TimePoint{});
+  const auto text = FormatSidecarMetrics(sidecar, {}, 0, 0, TimePoint{});
   const auto count = [](const std::string& from, const std::string& part) {
     int found = 0;
     for (auto at = from.find(part); at != std::string::npos;
@@ -303,7 +303,7 @@
   segment::BalancerStats stats;
   stats.refused[1].no_answer_in_time = 3;
   stats.refused[200].no_member = 4;
-  const auto refusals = FormatBalancerMetrics(stats, {}, 0, {});
+  const auto refusals = FormatBalancerMetrics(stats, {}, 0, {}, 0);
   BOOST_TEST(count(refusals, "# TYPE cowslip_refused_total") == 1);
   BOOST_TEST(
       count(refusals, "{priority=\"1\",reason=\"no_answer_in_time\"} 3") == 1);
