Tests: sites with numbers of their own for scheduling_test

Cause: platform_scheduling_test and platform_evacuation_test used the sites 25 and 26 on the same addresses, and failed with 'cannot listen' when ctest ran both at once. No check is changed.

--- a/tests/platform/scheduling_test.cc
+++ b/tests/platform/scheduling_test.cc
@@ -58,11 +58,11 @@
 
 struct ClassFixture : Fixture {
   ClassFixture()
-      : Fixture(25, R"(,"priority":1,"sloMs":300,"timeoutMs":4000)") {}
+      : Fixture(29, R"(,"priority":1,"sloMs":300,"timeoutMs":4000)") {}
 };
 
 struct PlainFixture : Fixture {
-  PlainFixture() : Fixture(26, "") {}
+  PlainFixture() : Fixture(30, "") {}
 };
 
 }  // namespace
