Returned packets count as a sign of an upstream only after a report

Cause: a sidecar that restarts beside a process which returns each packet and sends no report took every returned packet for a sign of a live upstream. It stayed a member that can't tell which flows it owns, so no lost flow was reset.

Change: UpstreamLivenessTimer counts a returned packet only once a report has reached this process. Without any report for two intervals and 200 ms the sidecar reports that it has no upstream and is no member.

--- a/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
+++ b/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
@@ -29,7 +29,17 @@
   void SetReportInterval(std::chrono::milliseconds interval) {
     timeout_ = kMissedReports * interval + kReportSlack;
   }
-  /// A report or a packet of the upstream arrived.
+  /// A report of the upstream arrived.
+  void OnReport() {
+    has_report_ = true;
+    OnActivity();
+  }
+  /// The upstream has returned a packet. A process that sends no reports is no
+  /// upstream that owns flows, although it returns packets.
+  void OnReturned() {
+    if (has_report_) OnActivity();
+  }
+  /// A packet of the upstream arrived.
   void OnActivity() { idle_time_ = Duration{}; }
   void OnTick(TimePoint now) {
     if (last_tick_ != TimePoint{}) {
@@ -43,6 +53,7 @@
  private:
   Duration timeout_ = kMissedReports * kDefaultReportInterval + kReportSlack;
   Duration idle_time_{};
+  bool has_report_ = false;  ///< Some report reached this process.
   TimePoint last_tick_{};
 };
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -352,7 +352,7 @@
 void Sidecar::OnReturned(std::uint32_t token, const Segment& segment,
                          ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.bounced;
-  liveness_.OnActivity();
+  liveness_.OnReturned();
   upstream_state_.OnAnswered();
   auto* entry = flows_.Find(segment.flow);
   const auto frame = sent_frames_.Find(token, segment.flow);
@@ -472,7 +472,7 @@
 ReportResult Sidecar::OnReport(const UpstreamReport& report, TimePoint now) {
   const auto result = upstream_state_.OnReport(report, now);
   if (result == ReportResult::kOutdated) return result;
-  liveness_.OnActivity();
+  liveness_.OnReport();
   unseen_flows_.OnReport(report, now);
   load_.SetSlots(report.slots);
   if (result == ReportResult::kNewIncarnation) load_.Reset(now);
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cowslip/segment.h"
@@ -88,6 +89,11 @@
   /// @return the index of the sidecar whose upstream owns a flow, or -1.
   int FindOwner(const FlowKey& flow) const;
   TimePoint now() const { return now_; }
+  /// @return how often balancers and sidecars have decided this, for this
+  /// reason.
+  int decisions(const std::string& action, const std::string& reason) const {
+    return observer_.count(action, reason);
+  }
 
  private:
   /// A sidecar and its upstream.
@@ -120,8 +126,19 @@
     LinkQueue in;
     LinkQueue out;
   };
-  class NullObserver final : public Observer {
-    void OnDecision(const FlowDecision&) override {}
+  /// Counts decisions by action and reason.
+  class CountingObserver final : public Observer {
+   public:
+    void OnDecision(const FlowDecision& decision) override {
+      ++counts_[{std::string(decision.action), std::string(decision.reason)}];
+    }
+    int count(const std::string& action, const std::string& reason) const {
+      const auto found = counts_.find({action, reason});
+      return found == counts_.end() ? 0 : found->second;
+    }
+
+   private:
+    std::map<std::pair<std::string, std::string>, int> counts_;
   };
 
   void After(std::chrono::microseconds delay, std::function<void()> run);
@@ -140,7 +157,7 @@
   TimePoint now_{std::chrono::seconds(1000)};
   std::uint64_t order_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  NullObserver observer_;
+  CountingObserver observer_;
   std::map<int, std::unique_ptr<Balancer>> balancers_;
   std::map<int, std::unique_ptr<SidecarHost>> sidecars_;
   std::vector<std::unique_ptr<FakeCaller>> callers_;
