Lookups keep the first cause of their uncertainty

Cause: an acknowledgement that some member is undecided replaced the cause that was noted before, so the log named undecided members (member_undecided) where a member did not respond (member_unresponsive).

Change: PendingPacket::NoteUncertainty keeps the first cause.

--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -49,6 +49,13 @@
   bool resend_logged = false;
   TimePoint next_attempt{};  ///< When to send the packet again.
   TimePoint arrival{};       ///< When the packet arrived.
+
+  /// Keeps the first cause that leaves the lookup without certainty. Members
+  /// that answer later often are undecided as well, which would hide a member
+  /// that does not respond.
+  void NoteUncertainty(std::string_view cause) {
+    if (uncertainty.empty()) uncertainty = cause;
+  }
 };
 
 /// Pending packets by flow, at most one for each.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -164,12 +164,12 @@
       pending.removals_before = members_.removals();
     } else if (pending.removals_before != members_.removals()) {
       // The rest of the list may begin after members that were not queried.
-      pending.uncertainty = "member_left";
+      pending.NoteUncertainty("member_left");
     }
     pending.candidates_covered =
         members_.ListForExistingFlow(*route, hash, pending.candidates_queried,
                                      KnowsFormerServices(now), frame);
-    if (frame.inconclusive) pending.uncertainty = "member_unresponsive";
+    if (frame.inconclusive) pending.NoteUncertainty("member_unresponsive");
   }
   pending.next_hop = segment.is_syn() ? pending.next_hop : 0;
   return frame.hop_count > 0;
@@ -356,7 +356,7 @@
   if (found == pending_.end() || found->second.lost) return;
   auto& pending = found->second;
   if (ack.verdict == AckStatus::kInconclusive) {
-    pending.uncertainty = "member_undecided";
+    pending.NoteUncertainty("member_undecided");
   }
   pending.resends = 0;
   if (!ContinueLookup(pending, now, out)) pending_.erase(found);
@@ -484,7 +484,7 @@
     pending.candidates_queried = kAllMembersQueried;
     return true;
   }
-  pending.uncertainty = "no_receipt";
+  pending.NoteUncertainty("no_receipt");
   if (pending.next_hop < pending.frame.hop_count) {
     SendToCandidates(pending, now, out);
     return true;
--- a/tests/segment/owner_lookup_test.cc
+++ b/tests/segment/owner_lookup_test.cc
@@ -92,4 +92,36 @@
   BOOST_TEST(timer.is_missing());
 }
 
+// An unresponsive member explains that no flow is reset. The log named a member
+// that is undecided for two seconds in its place.
+BOOST_AUTO_TEST_CASE(UnresponsiveMemberIsTheReasonThatIsLogged) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  AddService(sim, 4);
+  OpenCallers(sim, 20, milliseconds(20));
+  sim.Run(seconds(1));
+  for (int i = 0; i < 2; ++i) RestartMember(sim, i);
+  sim.upstream(2).Crash();
+  sim.RestartSidecar(2);
+  sim.Isolate(Simulation::SidecarAddress(3));
+  sim.AddBalancer(1);
+  sim.SetRoutes(2, "vault");
+  sim.UpdateAllMembers();
+  sim.RouteCallersTo(1);
+  // Two packets without an acknowledgement: the sidecar is unresponsive.
+  for (int i = 0; i < 10; ++i) sim.callers()[i]->Ask();
+  sim.Run(milliseconds(1000));
+  const auto count = [&](const std::string& reason) {
+    return sim.decisions("end_lookup", reason) +
+           sim.decisions("shorten_lookup", reason);
+  };
+  const int undecided = count("member_undecided");
+  const int unresponsive = count("member_unresponsive");
+  for (int i = 10; i < 20; ++i) sim.callers()[i]->Ask();
+  sim.Run(milliseconds(150));
+  BOOST_TEST(count("member_undecided") == undecided);
+  BOOST_TEST(count("member_unresponsive") > unresponsive);
+  BOOST_TEST(sim.wrong_resets() == 0);
+}
+
 }  // namespace cowslip::segment::test
