Owner queries: one exchange asks all members who owns a flow

Cause: a lookup visited all members one after the other, twice, at two datagrams for each flow and member. After a power loss the acknowledgements overran links of 10 Mbit/s, and lookups ended without certainty.

Members that don't know or don't answer are visited as before. The confirmation asks all members. Lost flows that wait for a free slot ask for new reports, as there are fewer acknowledgements that carry them.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -15,6 +15,8 @@
 #include "cowslip/segment/member.h"                   // IWYU pragma: export
 #include "cowslip/segment/observer.h"                 // IWYU pragma: export
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
+#include "cowslip/segment/owner_lookup.h"             // IWYU pragma: export
+#include "cowslip/segment/owner_query.h"              // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
 #include "cowslip/segment/round_trip_estimator.h"     // IWYU pragma: export
 #include "cowslip/segment/route_table.h"              // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string_view>
-#include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "cowslip/base.h"
@@ -16,6 +16,7 @@
 #include "cowslip/segment/member.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
+#include "cowslip/segment/owner_lookup.h"
 #include "cowslip/segment/pending_packet.h"
 #include "cowslip/segment/retry_budget.h"
 #include "cowslip/segment/round_trip_estimator.h"
@@ -62,6 +63,7 @@
   /// Discards the state of a sidecar whose process has restarted.
   void OnSidecarRestart(InstanceAddress sidecar) {
     sidecar_states_.Erase(sidecar);
+    lookups_.OnSidecarRestart(sidecar);
   }
 
   /// Handles a packet from a caller.
@@ -70,6 +72,17 @@
   /// Handles an acknowledgement of a sidecar.
   void OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now,
              Outbox& out);
+  /// Handles a reply of a sidecar to an owner query.
+  void OnOwnerReply(InstanceAddress sidecar, const OwnerReply& reply,
+                    TimePoint now, Outbox& out);
+  /// Handles a datagram of a sidecar: an acknowledgement or a reply. Ignores
+  /// other ones.
+  void OnDatagram(InstanceAddress sidecar, ByteView datagram, TimePoint now,
+                  Outbox& out);
+  /// Sends the owner queries that are due. Call it every
+  /// OwnerLookup::kBatchInterval while HasOwnerLookups().
+  void AdvanceLookups(TimePoint now, Outbox& out);
+  bool HasOwnerLookups() const { return lookups_.active(); }
   /// Resends packets that no sidecar has acknowledged. Call every few
   /// milliseconds.
   void OnTick(TimePoint now, Outbox& out);
@@ -99,10 +112,18 @@
   bool KnowsMembers(TimePoint now) const { return membership_.IsComplete(now); }
 
  private:
-  /// Parts of the member list, after the first, that are queried per second and
-  /// in a burst while some member is unresponsive.
+  /// Lookups that go on after the first visit, or after a query, per second and
+  /// in a burst while some member is unresponsive or undecided.
   static constexpr double kFullLookupRate = 20;
   static constexpr double kFullLookupBurst = 100;
+  /// Groups of members that a second and a burst of lookups visit after a query
+  /// because they don't know the flow or did not answer. A group costs up to 36
+  /// datagrams.
+  static constexpr double kVisitRate = 100;
+  static constexpr double kVisitBurst = 200;
+
+  /// Interval of checks for a free slot while a lost flow waits for one.
+  static constexpr std::chrono::milliseconds kFreeSlotCheckInterval{20};
 
   void HandleSyn(const Segment& segment, ByteView packet, TimePoint now,
                  Outbox& out);
@@ -123,10 +144,29 @@
   /// attempt.
   /// @return whether it was reset.
   bool ResetLostFlow(const PendingPacket& pending, TimePoint now, Outbox& out);
-  /// Queries the members that rank after the current candidates, or ends the
-  /// lookup.
+  /// Asks the other members once the first visit found no owner, visits those
+  /// that don't know, or ends the lookup.
   /// @return whether the packet stays pending.
   bool ContinueLookup(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// @return whether the lookup may go on to further members.
+  bool MayContinueLookup(const PendingPacket& pending, TimePoint now);
+  /// @return whether the first visit covered all members that may own the flow,
+  /// and each has answered.
+  bool FirstVisitCoveredAll(const PendingPacket& pending, TimePoint now) const;
+  void AskMembers(PendingPacket& pending, TimePoint due);
+  /// @return whether the packet stays pending.
+  bool VisitUndecided(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// All members have answered: asks them again, or resets the flow.
+  /// @return whether the packet stays pending.
+  bool EndRound(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// Asks members of the services in which lost flows wait for a free slot for
+  /// new reports.
+  void RequestReports(TimePoint now, Outbox& out);
+  void OnOwnerAnswer(OwnerAnswer&& answer, TimePoint now, Outbox& out);
+  /// Puts members that are responsive on the frame, as many as fit.
+  void ListMembersToVisit(PendingPacket& pending) const;
+  /// Handles the state that a sidecar reports of itself.
+  void OnSidecarState(InstanceAddress sidecar, const Ack& state, TimePoint now);
   /// @return whether to query the members after the likeliest ones. While a
   /// member is unresponsive, no lookup can end with certainty, so the others
   /// are queried for a limited number of flows only.
@@ -142,7 +182,10 @@
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
   void OnNotFound(const Ack& ack, TimePoint now, Outbox& out);
   static bool IsOnlyTransmission(const PendingPacket& syn);
-  std::string_view MembersUncertainty(const Route& route, TimePoint now) const;
+  /// @return why a member that may own the flow may not have been asked; empty
+  /// if all have been.
+  std::string_view MembersUncertainty(const PendingPacket& pending,
+                                      TimePoint now) const;
   void LogDecision(std::string_view action, std::string_view reason,
                    const FlowKey& flow, InstanceAddress instance = 0,
                    std::uint32_t place = 0, std::uint32_t wait_us = 0);
@@ -161,7 +204,13 @@
   RoundTripEstimator round_trips_;
   RetryBudget retry_budget_;
   TokenBucket full_lookup_budget_{kFullLookupRate, kFullLookupBurst};
+  TokenBucket visit_budget_{kVisitRate, kVisitBurst};
   BalancerStats stats_;
+  /// Services in which lost flows have found no free slot in this tick.
+  std::unordered_set<ServiceTag> services_without_slot_;
+  std::uint64_t next_lookup_ = 1;
+  OwnerLookup lookups_;
+  std::vector<OwnerAnswer> owner_answers_;
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -28,6 +28,9 @@
   /// Lookups that found no owner while one may exist, so that the caller gets
   /// no answer until it sends again or an owner is known.
   std::uint64_t uncertain_lookups = 0;
+  std::uint64_t owner_queries = 0;      ///< Owner queries sent, repeats too.
+  std::uint64_t owner_replies = 0;      ///< Replies to these.
+  std::uint64_t owner_query_flows = 0;  ///< Flows in the queries sent.
   /// SYNs refused because no upstream could answer in time.
   std::uint64_t overloaded = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -57,6 +57,12 @@
     });
   }
 
+  /// Calls a function with the tag and the members of each service.
+  template <typename Visit>
+  void ForEachService(const Visit& visit) const {
+    for (const auto& [tag, service] : services_) visit(tag, service.upstreams);
+  }
+
   /// Adds candidates for a new connection to a frame, the best first.
   /// @return whether there are any.
   bool ListForNewFlow(std::uint64_t hash, TimePoint now, SegmentFrame& frame);
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -112,6 +112,8 @@
   kReceipt = 2,
   kProbe = 3,
   kClassifiedSegment = 4,  ///< A segment frame with a request class.
+  kOwnerQuery = 5,
+  kOwnerReply = 6,
 };
 
 /// @return the kind of a datagram, std::nullopt if it is not one of these.
--- a/packages/segment/include/cowslip/segment/outbox.h
+++ b/packages/segment/include/cowslip/segment/outbox.h
@@ -5,6 +5,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/segment/frame.h"
+#include "cowslip/segment/owner_query.h"
 
 namespace cowslip::segment {
 
@@ -45,6 +46,14 @@
     Append({.kind = EffectKind::kSendToInstance, .instance = to},
            [](Bytes& out) { AppendProbe(out); });
   }
+  void SendOwnerQuery(InstanceAddress to, const OwnerQuery& query) {
+    Append({.kind = EffectKind::kSendToInstance, .instance = to},
+           [&](Bytes& out) { AppendOwnerQuery(query, out); });
+  }
+  void SendOwnerReply(InstanceAddress to, const OwnerReply& reply) {
+    Append({.kind = EffectKind::kSendToInstance, .instance = to},
+           [&](Bytes& out) { AppendOwnerReply(reply, out); });
+  }
   void SendToUpstream(std::uint32_t token, ByteView packet) {
     Append({.kind = EffectKind::kSendToUpstream, .token = token},
            [&](Bytes& out) { Copy(packet, out); });
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "cowslip/base.h"
 #include "cowslip/segment/frame.h"
@@ -10,6 +11,15 @@
 
 namespace cowslip::segment {
 
+/// How far the lookup of a flow's owner has come.
+enum class LookupStage : std::uint8_t {
+  kFirstVisit,  ///< The packet visits the likeliest members.
+  kQuerying,    ///< Waits for the answers of the other members, or of all.
+  kVisiting,    ///< The packet visits members that don't know the flow or did
+                ///< not answer.
+  kAtOwner,     ///< The packet was sent to the member that owns the flow.
+};
+
 /// A caller's packet that no sidecar has accepted yet: a SYN, or a packet of a
 /// flow whose sidecar is unknown to this balancer.
 struct PendingPacket {
@@ -30,17 +40,29 @@
   int resends = 0;
   /// Whether the packet has been sent at all.
   bool sent = false;
-  /// Ranked members before the current candidates, all queried.
-  std::size_t candidates_queried = 0;
-  /// Ranked members that the current candidates cover, including unresponsive
-  /// ones that were left out.
+  LookupStage stage = LookupStage::kFirstVisit;
+  /// Identifies the lookup among those of the same flow.
+  std::uint64_t lookup = 0;
+  /// Ranked members that the first visit covers, including unresponsive ones
+  /// that were left out.
   std::size_t candidates_covered = 0;
+  /// A member of the first visit did not acknowledge the packet.
+  bool first_visit_incomplete = false;
+  /// All members were asked, of services too that the route is not known to
+  /// have led to.
+  bool all_services_asked = false;
+  std::uint64_t config = 0;  ///< Route table when the lookup began.
+  /// Members to visit, as in OwnerAnswer, and how many were visited.
+  std::vector<InstanceAddress> to_visit;
+  std::vector<InstanceAddress> to_visit_elsewhere;
+  std::size_t visited = 0;
   /// CandidateSelector::removals() when the lookup began.
   std::uint64_t removals_before = 0;
   /// Why some member that was not heard may own the flow, as logged; empty if
   /// the lookup is certain so far.
   std::string_view uncertainty;
-  /// Every member has reported once that it doesn't own the flow.
+  /// Every member has reported once that it doesn't own the flow; they are
+  /// asked again to confirm it.
   bool not_found_once = false;
   /// No member owns the flow; it is reset as soon as an upstream has a free
   /// slot for the caller's next attempt.
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -35,6 +35,8 @@
 
   /// @return the service of a new connection, by weight and flow hash.
   ServiceTag ChooseService(std::uint64_t flow_hash) const;
+  /// @return whether connections of the route go, or went, to a service.
+  bool LeadsTo(ServiceTag service) const;
 };
 
 /// Hash of a service address, for the route map.
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -46,6 +46,9 @@
                   TimePoint now, Outbox& out);
   /// Answers the probe of a balancer that found this sidecar unresponsive.
   void OnProbe(InstanceAddress balancer, TimePoint now, Outbox& out);
+  /// Answers a balancer that asks which flows the upstream owns.
+  void OnOwnerQuery(InstanceAddress balancer, const OwnerQuery& query,
+                    TimePoint now, Outbox& out);
   /// Forwards SYNs that the upstream has not answered in time. Call every few
   /// milliseconds.
   void OnTick(TimePoint now, Outbox& out);
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -31,6 +31,10 @@
   /// Age at which a reported number of free slots is discarded as outdated.
   static constexpr std::chrono::milliseconds kFreeSlotsLifetime{300};
 
+  /// Age at which a report without free slots is asked for again. By then the
+  /// callers whose resets used the slots have tried again.
+  static constexpr std::chrono::milliseconds kReportRequestAge{50};
+
   void OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now);
   /// A packet to the sidecar was not acknowledged in time.
   void OnTimeout(InstanceAddress sidecar, TimePoint now);
@@ -48,6 +52,12 @@
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
+  /// Lost flows wait for a free slot of this sidecar: it is asked for a report
+  /// if the last one is older than kReportRequestAge.
+  void ConsiderReportRequest(InstanceAddress sidecar, TimePoint now);
+  /// @return the sidecars to ask for a report now, those with the oldest report
+  /// first, at most kMaxProbes.
+  const std::vector<InstanceAddress>& TakeReportRequests(TimePoint now);
   /// @return the unresponsive sidecars to probe now, those that have waited
   /// longest, at most kMaxProbes.
   const std::vector<InstanceAddress>& TakeDueProbes(TimePoint now);
@@ -64,7 +74,11 @@
     TimePoint last_probe{};
   };
 
+  /// Takes the first kMaxProbes of due_ and notes when they were probed.
+  const std::vector<InstanceAddress>& TakeProbes(TimePoint now);
+
   std::unordered_map<InstanceAddress, Contact> contacts_;
+  std::vector<std::pair<TimePoint, InstanceAddress>> report_requests_;
   std::vector<std::pair<TimePoint, InstanceAddress>> due_;
   std::vector<InstanceAddress> due_probes_;
 };
--- a/packages/segment/include/cowslip/segment/sidecar_stats.h
+++ b/packages/segment/include/cowslip/segment/sidecar_stats.h
@@ -20,6 +20,8 @@
   std::uint64_t to_callers = 0;  ///< Packets sent from the upstream to callers.
   /// SYNs dropped because they had waited through a suspension.
   std::uint64_t outdated = 0;
+  std::uint64_t owner_queries = 0;      ///< Owner queries answered.
+  std::uint64_t owner_query_flows = 0;  ///< Flows in these.
   std::uint64_t stale_balancer = 0;  ///< SYNs with an outdated configuration.
   /// From sending a request to the upstream until the first data of its
   /// response.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -16,12 +16,6 @@
 /// Time after the start in which members of a service may still be unknown: the
 /// store responds within milliseconds, or later if it is down at first.
 constexpr std::chrono::milliseconds kStartupWindow{2500};
-/// Delay of the second lookup of a flow without an owner. Membership updates
-/// take a few milliseconds.
-constexpr std::chrono::milliseconds kConfirmDelay{25};
-/// A lookup visits 12 members in about 20 ms. With 60 members, one of them
-/// unresponsive, it ends within this time.
-constexpr std::chrono::milliseconds kLookupLifetime{600};
 /// Time that all members have to be unresponsive before a balancer counts as
 /// isolated. A sidecar process is back 0.6 s after a planned stop; all of them
 /// are unresponsive at the same time only after a mass restart or a partition.
@@ -29,15 +23,18 @@
 /// Limit of tracked packets. A few hundred flows move to another balancer when
 /// one joins.
 constexpr std::size_t kMaxPending = 1024;
-/// Interval of checks for a free slot while a lost flow waits for one.
-constexpr std::chrono::milliseconds kFreeSlotCheckInterval{20};
-/// Counts all members as queried. Half of the maximum, so that adding to it
-/// does not overflow.
-constexpr std::size_t kAllMembersQueried = SIZE_MAX / 2;
 /// Time until a lost flow is dropped. If its caller sends again, there is a new
 /// lookup.
 constexpr std::chrono::milliseconds kLostFlowLifetime{1500};
 
+/// @return the time since the machine's start in nanoseconds: higher than the
+/// numbers of an earlier process, which sent fewer queries than nanoseconds
+/// have passed.
+std::uint64_t FirstQueryNumber(TimePoint started) {
+  return static_cast<std::uint64_t>(
+      std::chrono::nanoseconds(started.time_since_epoch()).count());
+}
+
 flow::HintCache MakeHints() {
   LastReason<flow::FlowError> reason;
   auto hints = flow::HintCache::Create(Balancer::kHintCapacity, reason);
@@ -54,7 +51,8 @@
       routes_(std::make_shared<RouteTable>()),
       route_history_(started),
       members_(sidecar_states_),
-      hints_(MakeHints()) {}
+      hints_(MakeHints()),
+      lookups_(FirstQueryNumber(started), observer, round_trips_, stats_) {}
 
 void Balancer::SetRoutes(std::shared_ptr<const RouteTable> routes,
                          bool follows_previous, TimePoint now) {
@@ -160,15 +158,11 @@
   } else {
     frame.inconclusive = false;
     frame.other_service = false;
-    if (pending.candidates_queried == 0) {
-      pending.removals_before = members_.removals();
-    } else if (pending.removals_before != members_.removals()) {
-      // The rest of the list may begin after members that were not queried.
-      pending.NoteUncertainty("member_left");
-    }
-    pending.candidates_covered =
-        members_.ListForExistingFlow(*route, hash, pending.candidates_queried,
-                                     KnowsFormerServices(now), frame);
+    pending.lookup = next_lookup_++;
+    pending.config = routes_->version;
+    pending.removals_before = members_.removals();
+    pending.candidates_covered = members_.ListForExistingFlow(
+        *route, hash, /*skip=*/0, KnowsFormerServices(now), frame);
     if (frame.inconclusive) pending.NoteUncertainty("member_unresponsive");
   }
   pending.next_hop = segment.is_syn() ? pending.next_hop : 0;
@@ -216,7 +210,10 @@
   const auto lookup = pending_.find(segment.flow);
   const bool lookup_active =
       lookup != pending_.end() && !lookup->second.segment.is_syn();
-  if (lookup_active && lookup->second.lost) return;
+  if (lookup_active &&
+      (lookup->second.lost || lookup->second.stage == LookupStage::kQuerying)) {
+    return;  // The caller sends it again, as the owner is not known yet.
+  }
   const auto hash = HashFlow(segment.flow);
   const auto hint = hints_.Find(segment.flow, hash, now);
   if (!hint && !lookup_active) {
@@ -233,9 +230,13 @@
   SegmentFrame frame;
   frame.service = route.ChooseService(hash);
   if (hint) frame.hops[frame.hop_count++] = Raw(*hint);
-  members_.ListForExistingFlow(
-      route, hash, lookup_active ? lookup->second.candidates_queried : 0,
-      KnowsFormerServices(now), frame);
+  if (lookup_active && lookup->second.stage != LookupStage::kFirstVisit) {
+    frame = lookup->second.frame;
+    frame.searched = false;
+  } else {
+    members_.ListForExistingFlow(route, hash, /*skip=*/0,
+                                 KnowsFormerServices(now), frame);
+  }
   if (frame.hop_count == 0) return;
   frame.config = routes_->version;
   frame.balancer = self_;
@@ -244,11 +245,7 @@
 
 void Balancer::OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now,
                      Outbox& out) {
-  if (sidecar_states_.IsUnresponsive(sidecar)) {
-    LogDecision("member_answers", "receipt", ack.flow, sidecar);
-  }
-  sidecar_states_.OnAck(sidecar, ack, now);
-  route_history_.OnVersionSeen(ack.config);
+  OnSidecarState(sidecar, ack, now);
   MeasureRoundTrip(sidecar, ack, now);
   switch (ack.verdict) {
     case AckStatus::kProbeReply:
@@ -278,6 +275,15 @@
   }
 }
 
+void Balancer::OnSidecarState(InstanceAddress sidecar, const Ack& state,
+                              TimePoint now) {
+  if (sidecar_states_.IsUnresponsive(sidecar)) {
+    LogDecision("member_answers", "receipt", state.flow, sidecar);
+  }
+  sidecar_states_.OnAck(sidecar, state, now);
+  route_history_.OnVersionSeen(state.config);
+}
+
 void Balancer::MeasureRoundTrip(InstanceAddress sidecar, const Ack& ack,
                                 TimePoint now) {
   const auto found = pending_.find(ack.flow);
@@ -314,17 +320,6 @@
   pending.next_hop = static_cast<std::uint8_t>(hop - frame.hops.begin() + 1);
 }
 
-/// @return why a member that may own a flow of the route may be missing from
-/// the lists; empty if none can be.
-std::string_view Balancer::MembersUncertainty(const Route& route,
-                                              TimePoint now) const {
-  if (!KnowsMembers(now)) return "members_unknown";
-  if (!members_.IsStable(route, KnowsFormerServices(now), now)) {
-    return "member_joined";
-  }
-  return {};
-}
-
 /// @return whether no other transmission of the SYN may still reach an
 /// upstream, so that a reset truly means that nothing ran.
 bool Balancer::IsOnlyTransmission(const PendingPacket& syn) {
@@ -355,57 +350,14 @@
   hints_.Erase(ack.flow, HashFlow(ack.flow));
   if (found == pending_.end() || found->second.lost) return;
   auto& pending = found->second;
+  // An acknowledgement of an earlier visit.
+  if (pending.stage == LookupStage::kQuerying) return;
   if (ack.verdict == AckStatus::kInconclusive) {
     pending.NoteUncertainty("member_undecided");
   }
   pending.resends = 0;
   if (!ContinueLookup(pending, now, out)) pending_.erase(found);
-}
-
-bool Balancer::ContinueLookup(PendingPacket& pending, TimePoint now,
-                              Outbox& out) {
-  pending.awaiting_ack_from = 0;
-  pending.candidates_queried += pending.candidates_covered;
-  const auto* route = routes_->Find(pending.segment.flow.service);
-  // An undecided member leaves no more certainty than an unresponsive one.
-  const bool may_continue =
-      !pending.uncertainty.empty()
-          ? full_lookup_budget_.TryTake(now)
-          : route == nullptr || MayQueryAllMembers(*route, now);
-  if (!may_continue) {
-    ++stats_.shortened_lookups;
-    LogDecision("shorten_lookup",
-                pending.uncertainty.empty() ? "member_unresponsive"
-                                            : pending.uncertainty,
-                pending.segment.flow);
-    return false;
-  }
-  if (BuildCandidates(pending, now)) {
-    SendToCandidates(pending, now, out);
-    return true;
-  }
-  if (pending.uncertainty.empty()) {
-    pending.uncertainty =
-        route == nullptr ? "no_route" : MembersUncertainty(*route, now);
-  }
-  if (!pending.uncertainty.empty()) {
-    ++stats_.uncertain_lookups;
-    LogDecision("end_lookup", pending.uncertainty, pending.segment.flow);
-    return false;
-  }
-  if (!pending.not_found_once) {
-    pending.not_found_once = true;
-    pending.next_attempt = now + kConfirmDelay;
-    return true;
-  }
-  pending.lost = true;
-  pending.next_attempt = now + kFreeSlotCheckInterval;
-  return !ResetLostFlow(pending, now, out);
-}
-
-bool Balancer::MayQueryAllMembers(const Route& route, TimePoint now) {
-  return members_.AllResponsive(route, KnowsFormerServices(now)) ||
-         full_lookup_budget_.TryTake(now);
+  if (lookups_.IsDue(now)) AdvanceLookups(now, out);
 }
 
 bool Balancer::ResetLostFlow(const PendingPacket& pending, TimePoint now,
@@ -465,33 +417,6 @@
   return true;
 }
 
-/// Continues a lookup after a sidecar that did not respond, or repeats one that
-/// found no owner to confirm it.
-bool Balancer::RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out) {
-  if (now - pending.arrival > kLookupLifetime) {
-    ++stats_.given_up;
-    LogDecision("give_up", "lookup_too_long", pending.segment.flow);
-    return false;
-  }
-  if (!MayResend(pending, now)) return true;
-  const bool is_confirmation =
-      pending.not_found_once && pending.awaiting_ack_from == 0;
-  if (is_confirmation) {
-    // A member that has become known since is likely to rank among the first.
-    pending.candidates_queried = 0;
-    if (!BuildCandidates(pending, now)) return false;
-    SendToCandidates(pending, now, out);
-    pending.candidates_queried = kAllMembersQueried;
-    return true;
-  }
-  pending.NoteUncertainty("no_receipt");
-  if (pending.next_hop < pending.frame.hop_count) {
-    SendToCandidates(pending, now, out);
-    return true;
-  }
-  return ContinueLookup(pending, now, out);
-}
-
 void Balancer::OnTick(TimePoint now, Outbox& out) {
   for (auto entry = pending_.begin(); entry != pending_.end();) {
     auto& pending = entry->second;
@@ -506,6 +431,7 @@
       if (ResetLostFlow(pending, now, out) || expired) {
         entry = pending_.erase(entry);
       } else {
+        services_without_slot_.insert(pending.frame.service);
         ++entry;
       }
       continue;
@@ -515,6 +441,8 @@
                              : RetryLookup(pending, now, out);
     entry = tracked ? std::next(entry) : pending_.erase(entry);
   }
+  RequestReports(now, out);
+  AdvanceLookups(now, out);
   for (const auto sidecar : sidecar_states_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
   }
@@ -530,6 +458,7 @@
   membership_.OnInterrupted(now);
   stats_.outdated += pending_.size();
   pending_.clear();
+  lookups_.Clear();
   isolated_since_.reset();
 }
 
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -4,28 +4,11 @@
 #include <cstring>
 
 #include "frame_generated.h"
+#include "wire_codec.h"
 
 namespace cowslip::segment {
 namespace {
 
-/// First word of each datagram, "CWS1", so that unrelated datagrams are
-/// rejected.
-constexpr std::uint32_t kMagic = 0x31535743;
-
-template <typename T>
-void AppendRaw(const T& value, Bytes& out) {
-  const auto* bytes = reinterpret_cast<const std::uint8_t*>(&value);
-  out.insert(out.end(), bytes, bytes + sizeof value);
-}
-
-template <typename T>
-std::optional<T> ReadRaw(ByteView datagram) {
-  if (datagram.size() < sizeof(T)) return std::nullopt;
-  T value;
-  std::memcpy(&value, datagram.data(), sizeof value);
-  return value;
-}
-
 /// @return the field of a frame: 0 stands for no time.
 std::uint16_t EncodeTime(std::optional<std::chrono::milliseconds> time) {
   if (!time) return 0;
@@ -57,8 +40,7 @@
   std::memcpy(&magic, datagram.data(), sizeof magic);
   const auto kind = datagram[4];
   if (flatbuffers::EndianScalar(magic) != kMagic) return std::nullopt;
-  if (kind < 1 ||
-      kind > static_cast<std::uint8_t>(FrameKind::kClassifiedSegment)) {
+  if (kind < 1 || kind > static_cast<std::uint8_t>(FrameKind::kOwnerReply)) {
     return std::nullopt;
   }
   return static_cast<FrameKind>(kind);
--- a/packages/segment/src/route_table.cc
+++ b/packages/segment/src/route_table.cc
@@ -32,6 +32,14 @@
   return targets.back().service;
 }
 
+bool Route::LeadsTo(ServiceTag service) const {
+  return std::any_of(
+             targets.begin(), targets.end(),
+             [&](const auto& each) { return each.service == service; }) ||
+         std::find(former_services.begin(), former_services.end(), service) !=
+             former_services.end();
+}
+
 const Route* RouteTable::Find(const Endpoint& address) const {
   const auto found = routes.find(address);
   return found == routes.end() ? nullptr : &found->second;
--- a/packages/segment/src/sidecar_state_table.cc
+++ b/packages/segment/src/sidecar_state_table.cc
@@ -59,12 +59,33 @@
 const std::vector<InstanceAddress>& SidecarStateTable::TakeDueProbes(
     TimePoint now) {
   due_.clear();
-  due_probes_.clear();
   for (const auto& [sidecar, contact] : contacts_) {
     if (contact.misses < kMaxMisses) continue;
     if (now - contact.last_probe < kProbeInterval) continue;
     due_.emplace_back(contact.last_probe, sidecar);
   }
+  return TakeProbes(now);
+}
+
+void SidecarStateTable::ConsiderReportRequest(InstanceAddress sidecar,
+                                              TimePoint now) {
+  const auto& contact = contacts_[sidecar];
+  if (contact.misses >= kMaxMisses) return;
+  if (now - contact.reported_at < kReportRequestAge) return;
+  if (now - contact.last_probe < kReportRequestAge) return;
+  report_requests_.emplace_back(contact.reported_at, sidecar);
+}
+
+const std::vector<InstanceAddress>& SidecarStateTable::TakeReportRequests(
+    TimePoint now) {
+  due_.swap(report_requests_);
+  report_requests_.clear();
+  return TakeProbes(now);
+}
+
+const std::vector<InstanceAddress>& SidecarStateTable::TakeProbes(
+    TimePoint now) {
+  due_probes_.clear();
   const auto count = std::min(due_.size(), kMaxProbes);
   std::partial_sort(due_.begin(),
                     due_.begin() + static_cast<std::ptrdiff_t>(count),
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -239,6 +239,7 @@
     switch (effect.kind) {
       case EffectKind::kSendToInstance: {
         ++datagrams_;
+        bytes_ += effect.size;
         const auto sent = Enqueue(from, &Link::out, effect.size);
         if (!sent || IsLost()) break;
         After(*sent + kInstanceLatency,
@@ -291,13 +292,16 @@
   Outbox out;
   const auto kind = KindOf(datagram);
   if (to < SidecarAddress(0)) {
-    const auto ack = DecodeAck(datagram);
-    if (ack) {
-      balancer(static_cast<int>(to - BalancerAddress(0)))
-          .OnAck(from, *ack, now_, out);
-    }
+    const int index = static_cast<int>(to - BalancerAddress(0));
+    balancer(index).OnDatagram(from, datagram, now_, out);
+    ScheduleLookups(index);
   } else if (kind == FrameKind::kProbe) {
     sidecar(static_cast<int>(to - SidecarAddress(0))).OnProbe(from, now_, out);
+  } else if (kind == FrameKind::kOwnerQuery) {
+    const int index = static_cast<int>(to - SidecarAddress(0));
+    const auto query = DecodeOwnerQuery(datagram);
+    if (!query || earlier_builds_.contains(index)) return;
+    sidecar(index).OnOwnerQuery(from, *query, now_, out);
   } else {
     ByteView packet;
     const auto frame = DecodeSegmentFrame(datagram, packet);
@@ -308,6 +312,20 @@
   ExecuteEffects(to, out);
 }
 
+void Simulation::ScheduleLookups(int index) {
+  if (!balancer(index).HasOwnerLookups() || !advancing_.insert(index).second) {
+    return;
+  }
+  After(OwnerLookup::kBatchInterval, [this, index] {
+    advancing_.erase(index);
+    if (suspended_.contains(index)) return;
+    Outbox out;
+    balancer(index).AdvanceLookups(now_, out);
+    ExecuteEffects(BalancerAddress(index), out);
+    ScheduleLookups(index);
+  });
+}
+
 void Simulation::SendToCaller(const Segment& segment) {
   if (IsLost()) return;
   After(kCallerLatency, [this, segment] {
@@ -330,6 +348,7 @@
     balancer->OnStoreRead(newest_version_, now_);
     balancer->OnTick(now_, out);
     ExecuteEffects(BalancerAddress(index), out);
+    ScheduleLookups(index);
   }
   for (auto& [index, host] : sidecars_) {
     Outbox out;
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -84,6 +84,10 @@
   std::vector<std::unique_ptr<FakeCaller>>& callers() { return callers_; }
   /// @return datagrams that balancers and sidecars have sent to each other.
   std::uint64_t datagrams() const { return datagrams_; }
+  /// @return bytes of these datagrams, without the headers of UDP and IP.
+  std::uint64_t bytes() const { return bytes_; }
+  /// The sidecar is of a build that ignores owner queries.
+  void UseEarlierBuild(int sidecar) { earlier_builds_.insert(sidecar); }
   /// @return number of resets of flows that a running upstream owned.
   int wrong_resets() const { return wrong_resets_; }
   /// @return the index of the sidecar whose upstream owns a flow, or -1.
@@ -143,6 +147,8 @@
 
   void After(std::chrono::microseconds delay, std::function<void()> run);
   void Tick();
+  /// Advances the owner lookups of a balancer at their interval.
+  void ScheduleLookups(int balancer);
   void ExecuteEffects(InstanceAddress from, Outbox& out);
   void Deliver(InstanceAddress from, InstanceAddress to, const Bytes& datagram);
   void SendToCaller(const Segment& segment);
@@ -173,6 +179,9 @@
   double loss_ = 0;
   int wrong_resets_ = 0;
   std::uint64_t datagrams_ = 0;
+  std::uint64_t bytes_ = 0;
+  std::set<int> earlier_builds_;
+  std::set<int> advancing_;  ///< Balancers whose lookups are scheduled.
   bool ticking_ = false;
 };
 
