--- a/fuzz/adapter_fuzz.cc
+++ b/fuzz/adapter_fuzz.cc
@@ -58,6 +58,23 @@
   return {wire.begin(), wire.end()};
 }
 
+std::string MakeOwnerQuery() {
+  segment::OwnerQuery query;
+  for (int i = 0; i < 3; ++i) query.Add({});
+  Bytes wire;
+  segment::AppendOwnerQuery(query, wire);
+  return {wire.begin(), wire.end()};
+}
+
+std::string MakeOwnerReply() {
+  segment::OwnerReply reply;
+  reply.flow_count = 3;
+  reply.owned = 1;
+  Bytes wire;
+  segment::AppendOwnerReply(reply, wire);
+  return {wire.begin(), wire.end()};
+}
+
 std::string MakeMessage() {
   peers::Message message;
   message.entries.resize(3);
@@ -68,6 +85,8 @@
 
 void TryOne(fuzz::Mutator& mutator, Tally& tally) {
   static const std::string kFrame = MakeFrame();
+  static const std::string kOwnerQuery = MakeOwnerQuery();
+  static const std::string kOwnerReply = MakeOwnerReply();
   static const std::string kMessage = MakeMessage();
   static const std::string kHeartbeat =
       R"({"service":"vault","address":"10.1.0.9:81","zone":"z","version":"1",)"
@@ -80,6 +99,8 @@
   ByteView packet;
   tally.Count(segment::DecodeSegmentFrame(frame, packet));
   tally.Count(segment::DecodeAck(frame));
+  tally.Count(segment::DecodeOwnerQuery(DamagedBytes(kOwnerQuery, mutator)));
+  tally.Count(segment::DecodeOwnerReply(DamagedBytes(kOwnerReply, mutator)));
   tally.Count(platform_adapter::DecodePacketHeader(
       frame, platform_adapter::PacketSender::kUpstream));
   tally.Count(peers::Decode(DamagedBytes(kMessage, mutator)));
--- a/tests/segment/owner_lookup_test.cc
+++ b/tests/segment/owner_lookup_test.cc
@@ -245,6 +245,38 @@
   BOOST_TEST(stats.owner_query_flows <= 2U * kMembers * kLostFlows);
 }
 
+// What lookups of lost flows cost as the site grows, as in docs/CAPACITY.md.
+// The budget of queries binds where asking all members is too much.
+BOOST_DATA_TEST_CASE(CostOfLostFlowsIsBounded,
+                     boost::unit_test::data::make({62, 300, 4300}), members) {
+  Simulation sim;
+  LoseAllFlows(sim, members, kLostFlows);
+  const auto bytes = sim.bytes();
+  const auto datagrams = sim.datagrams();
+  AskAll(sim);
+  const auto first = FirstReset(sim, milliseconds(600));
+  sim.Run(milliseconds(600) - first);
+  const int resets = Count(sim, CallState::kReset);
+  const auto& stats = sim.balancer(0).stats();
+  const auto queries = stats.owner_queries;
+  const double all = static_cast<double>(sim.datagrams() - datagrams);
+  const auto used = sim.bytes() - bytes;
+  sim.Run(milliseconds(3400));
+  BOOST_TEST_MESSAGE(
+      members << " members, 0.6 s: " << resets << " resets, first "
+              << first.count() << " ms, " << queries << " queries, "
+              << all / kLostFlows << " datagrams and " << used / kLostFlows
+              << " bytes a flow; 4 s: " << Count(sim, CallState::kReset)
+              << " resets, " << stats.owner_queries << " queries, "
+              << (sim.bytes() - bytes) / 1000 << " kB");
+  constexpr double kSeconds = 4.0;
+  BOOST_TEST(static_cast<double>(stats.owner_queries) <=
+             OwnerLookup::kQueryBurst +
+                 OwnerLookup::kQueriesPerSecond * kSeconds +
+                 RetryBudget::kBurst + RetryBudget::kMinPerSecond * kSeconds);
+  BOOST_TEST(sim.wrong_resets() == 0);
+}
+
 // A flow that a member after the first twelve owns is delivered in one
 // exchange, before its caller sends the packet again.
 BOOST_AUTO_TEST_CASE(OwnerBeyondTheFirstVisitIsFoundInOneExchange) {
