--- a/packages/segment/src/owner_lookup.cc
+++ b/packages/segment/src/owner_lookup.cc
@@ -214,7 +214,9 @@
   if (row == nullptr || reply.flow_count != std::popcount(row->asked)) return;
   // A reply that comes after the timeouts still counts, as the batch is open.
   const bool in_time = row->state == OwnerQueryState::kSent;
-  if (!in_time && row->state != OwnerQueryState::kSilent) return;
+  const bool late =
+      row->state == OwnerQueryState::kSilent && row->sent_at != TimePoint{};
+  if (!in_time && !late) return;
   if (in_time) {
     --outstanding_;
     --batch->rows_to_wait_for;
--- a/tests/segment/owner_lookup_test.cc
+++ b/tests/segment/owner_lookup_test.cc
@@ -534,19 +534,44 @@
 
 namespace {
 
+FlowKey MakeFlow(std::uint16_t port) {
+  return {{0x64400001, port}, {0xC6120001, 443}};
+}
+
 /// A balancer without a network, whose members a test plays.
 class LoneBalancer {
  public:
   explicit LoneBalancer(int members)
       : balancer_(1, observer_, TimePoint(seconds(1000))) {
+    SetMembers(members);
+    balancer_.OnMembershipComplete(now_);
+    balancer_.SetRoutes(Simulation::MakeRoutes(1, "vault"), true, now_);
+    now_ += seconds(2);
+  }
+
+  void SetMembers(int members) {
     std::vector<Member> list;
     for (int i = 0; i < members; ++i) {
       list.push_back({Simulation::SidecarAddress(i), true});
     }
     balancer_.SetMembers(TagOf("vault"), list, now_);
-    balancer_.OnMembershipComplete(now_);
-    balancer_.SetRoutes(Simulation::MakeRoutes(1, "vault"), true, now_);
-    now_ += seconds(2);
+  }
+  void SetRoutes(std::uint64_t version) {
+    balancer_.SetRoutes(Simulation::MakeRoutes(version, "vault"), true, now_);
+  }
+
+  /// Looks up a flow that all members say they don't own.
+  /// @param between called between the two queries.
+  template <typename Change>
+  void LookUpLostFlow(const Change& between) {
+    LookUp(MakeFlow(1));
+    for (const auto& [member, query] : Run(milliseconds(15))) {
+      Reply(member, query.number, query.flow_count);
+    }
+    between();
+    for (const auto& [member, query] : Run(milliseconds(60))) {
+      Reply(member, query.number, query.flow_count);
+    }
   }
 
   /// A packet of a flow that the balancer doesn't know, and the acknowledgement
@@ -622,10 +647,6 @@
   std::map<InstanceAddress, std::vector<TimePoint>> sent_at_;
 };
 
-FlowKey MakeFlow(std::uint16_t port) {
-  return {{0x64400001, port}, {0xC6120001, 443}};
-}
-
 }  // namespace
 
 // Replies to an earlier query, or to a process before this one, tell what
@@ -679,6 +700,7 @@
   const auto queries = lone.Run(milliseconds(15));
   BOOST_REQUIRE(queries.size() == 2U);
   lone.balancer().OnResume(TimePoint(seconds(1010)));
+  BOOST_TEST(!lone.balancer().HasOwnerLookups());
   for (const auto& [member, query] : queries) {
     lone.Reply(member, query.number, 1);
   }
@@ -687,6 +709,54 @@
   BOOST_TEST(lone.resets() == 0);
 }
 
+// What changes during a lookup may hide an owner: it must not end in a reset.
+BOOST_AUTO_TEST_CASE(ChangesDuringALookupPreventResets) {
+  LoneBalancer unchanged(20);
+  unchanged.LookUpLostFlow([] {});
+  BOOST_TEST(unchanged.resets() == 1);
+
+  LoneBalancer joined(20);
+  joined.LookUpLostFlow([&] { joined.SetMembers(21); });
+  BOOST_TEST(joined.resets() == 0);
+
+  LoneBalancer left(20);
+  left.LookUpLostFlow([&] { left.SetMembers(19); });
+  BOOST_TEST(left.resets() == 0);
+
+  LoneBalancer moved(20);
+  moved.LookUpLostFlow([&] { moved.SetRoutes(2); });
+  BOOST_TEST(moved.resets() == 0);
+
+  LoneBalancer suspended(20);
+  suspended.LookUpLostFlow(
+      [&] { suspended.balancer().OnResume(TimePoint(seconds(1010))); });
+  BOOST_TEST(suspended.resets() == 0);
+}
+
+// A query that waited through the sidecar's suspension gets no reply: its
+// lookup has ended, and the sidecar has yet to handle what its upstream sent.
+BOOST_AUTO_TEST_CASE(SidecarDropsQueriesOfItsBacklog) {
+  Simulation sim;
+  sim.AddBalancer(0);
+  AddService(sim, 1);
+  OwnerQuery query;
+  query.Add({MakeFlow(1), 0, true});
+  Bytes wire;
+  AppendOwnerQuery(query, wire);
+  Outbox out;
+  sim.sidecar(0).OnControlDatagram(1, wire, /*backlog=*/true, sim.now(), out);
+  BOOST_TEST(out.effects().empty());
+  BOOST_TEST(sim.sidecar(0).stats().outdated == 1U);
+  sim.sidecar(0).OnControlDatagram(1, wire, /*backlog=*/false, sim.now(), out);
+  BOOST_REQUIRE(out.effects().size() == 1U);
+  const auto reply = DecodeOwnerReply(out.Datagram(out.effects()[0]));
+  BOOST_REQUIRE(reply.has_value());
+  BOOST_TEST(reply->not_owned == 1U);
+  // The state that an acknowledgement carries.
+  BOOST_TEST(reply->state.open);
+  BOOST_TEST(reply->state.free_slots == 2U);
+}
+
 // However many flows are lost, a member gets at most a datagram in 10 ms.
 BOOST_AUTO_TEST_CASE(MembersGetAtMostOneQueryInTenMilliseconds) {
   LoneBalancer lone(30);
