--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -169,7 +169,10 @@
     pending.removals_before = members_.removals();
     pending.candidates_covered = members_.ListForExistingFlow(
         *route, hash, /*skip=*/0, KnowsFormerServices(now), frame);
-    if (pending_.size() >= kManyPending && frame.hop_count > kShortVisit) {
+    // A packet beyond the limit is not tracked, so no query follows its visit.
+    const bool short_visit =
+        pending_.size() >= kManyPending && pending_.size() < kMaxPending;
+    if (short_visit && frame.hop_count > kShortVisit) {
       frame.hop_count = kShortVisit;
       pending.candidates_covered = kShortVisit;
     }
