--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -18,6 +18,8 @@
 #include "cowslip/segment/member.h"                   // IWYU pragma: export
 #include "cowslip/segment/observer.h"                 // IWYU pragma: export
 #include "cowslip/segment/outbox.h"                   // IWYU pragma: export
+#include "cowslip/segment/owner_lookup.h"             // IWYU pragma: export
+#include "cowslip/segment/owner_query.h"              // IWYU pragma: export
 #include "cowslip/segment/placement.h"                // IWYU pragma: export
 #include "cowslip/segment/placement_counts.h"         // IWYU pragma: export
 #include "cowslip/segment/refused_callers.h"          // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -66,6 +66,11 @@
 
   /// @return where a member of a service is, seen from the balancer.
   Locality LocalityOf(ServiceTag tag, InstanceAddress member) const;
+  /// Calls a function with the tag and the members of each service.
+  template <typename Visit>
+  void ForEachService(const Visit& visit) const {
+    for (const auto& [tag, service] : services_) visit(tag, service.upstreams);
+  }
 
   /// Adds candidates for a new connection to a frame, the best first.
   /// @param latency_target of the route.
--- a/packages/segment/include/cowslip/segment/sidecar_state_table.h
+++ b/packages/segment/include/cowslip/segment/sidecar_state_table.h
@@ -38,6 +38,10 @@
       std::chrono::seconds(60)};
   static constexpr std::uint16_t kMaxFreeSlots = 64;
 
+  /// Age at which a report without free slots is asked for again. By then the
+  /// callers whose resets used the slots have tried again.
+  static constexpr std::chrono::milliseconds kReportRequestAge{50};
+
   void OnAck(InstanceAddress sidecar, const Ack& ack, TimePoint now);
   /// A packet to the sidecar was not acknowledged in time.
   void OnTimeout(InstanceAddress sidecar, TimePoint now);
@@ -73,6 +77,12 @@
   /// Reserves one of the free slots that a sidecar last reported.
   /// @return whether a slot was free, or there is no recent report.
   bool ClaimSlot(InstanceAddress sidecar, TimePoint now);
+  /// Lost flows wait for a free slot of this sidecar: it is asked for a report
+  /// if the last one is older than kReportRequestAge.
+  void ConsiderReportRequest(InstanceAddress sidecar, TimePoint now);
+  /// @return the sidecars to ask for a report now, those with the oldest report
+  /// first, at most kMaxProbes.
+  const std::vector<InstanceAddress>& TakeReportRequests(TimePoint now);
   /// @return the unresponsive sidecars to probe now, those that have waited
   /// longest, at most kMaxProbes.
   const std::vector<InstanceAddress>& TakeDueProbes(TimePoint now);
@@ -94,7 +104,11 @@
     TimePoint reserved_at{};
   };
 
+  /// Takes the first kMaxProbes of due_ and notes when they were probed.
+  const std::vector<InstanceAddress>& TakeProbes(TimePoint now);
+
   std::unordered_map<InstanceAddress, Contact> contacts_;
+  std::vector<std::pair<TimePoint, InstanceAddress>> report_requests_;
   std::vector<std::pair<TimePoint, InstanceAddress>> due_;
   std::vector<InstanceAddress> due_probes_;
 };
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -274,6 +274,7 @@
     switch (effect.kind) {
       case EffectKind::kSendToInstance: {
         ++datagrams_;
+        bytes_ += effect.size;
         const auto sent = Enqueue(from, &Link::out, effect.size);
         if (!sent || IsLost()) break;
         After(*sent + kInstanceLatency,
@@ -324,13 +325,11 @@
     return;
   }
   if (to < SidecarAddress(0)) {
+    const int balancer_index = static_cast<int>(to - BalancerAddress(0));
     Outbox out;
-    const auto ack = DecodeAck(datagram);
-    if (ack) {
-      balancer(static_cast<int>(to - BalancerAddress(0)))
-          .OnAck(from, *ack, now_, out);
-    }
+    balancer(balancer_index).OnDatagram(from, datagram, now_, out);
     ExecuteEffects(to, out);
+    ScheduleLookups(balancer_index);
     return;
   }
   const int index = static_cast<int>(to - SidecarAddress(0));
@@ -342,8 +341,12 @@
 void Simulation::DeliverToSidecar(InstanceAddress from, int index,
                                   const Bytes& datagram, bool backlog) {
   Outbox out;
-  if (KindOf(datagram) == FrameKind::kProbe) {
-    sidecar(index).OnProbe(from, now_, out);
+  const auto kind = KindOf(datagram);
+  if (kind == FrameKind::kProbe || kind == FrameKind::kOwnerQuery) {
+    if (kind == FrameKind::kOwnerQuery && earlier_builds_.contains(index)) {
+      return;
+    }
+    sidecar(index).OnControlDatagram(from, datagram, backlog, now_, out);
   } else {
     ByteView packet;
     const auto frame = DecodeSegmentFrame(datagram, packet);
@@ -358,6 +361,20 @@
   ExecuteEffects(SidecarAddress(index), out);
 }
 
+void Simulation::ScheduleLookups(int index) {
+  if (!balancer(index).HasOwnerLookups() || !advancing_.insert(index).second) {
+    return;
+  }
+  After(OwnerLookup::kBatchInterval, [this, index] {
+    advancing_.erase(index);
+    if (suspended_.contains(index)) return;
+    Outbox out;
+    balancer(index).AdvanceLookups(now_, out);
+    ExecuteEffects(BalancerAddress(index), out);
+    ScheduleLookups(index);
+  });
+}
+
 void Simulation::SendToCaller(const Segment& segment) {
   if (IsLost()) return;
   After(kCallerLatency, [this, segment] {
@@ -380,6 +397,7 @@
     balancer->OnStoreRead(newest_version_, now_);
     balancer->OnTick(now_, out);
     ExecuteEffects(BalancerAddress(index), out);
+    ScheduleLookups(index);
   }
   for (auto& [index, host] : sidecars_) {
     if (suspended_sidecars_.contains(index)) continue;
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "cowslip/segment.h"
@@ -97,11 +98,20 @@
   std::vector<std::unique_ptr<FakeCaller>>& callers() { return callers_; }
   /// @return datagrams that balancers and sidecars have sent to each other.
   std::uint64_t datagrams() const { return datagrams_; }
+  /// @return bytes of these datagrams, without the headers of UDP and IP.
+  std::uint64_t bytes() const { return bytes_; }
+  /// The sidecar is of a build that ignores owner queries.
+  void UseEarlierBuild(int sidecar) { earlier_builds_.insert(sidecar); }
   /// @return number of resets of flows that a running upstream owned.
   int wrong_resets() const { return wrong_resets_; }
   /// @return the index of the sidecar whose upstream owns a flow, or -1.
   int FindOwner(const FlowKey& flow) const;
   TimePoint now() const { return now_; }
+  /// @return how often balancers and sidecars have decided this, for this
+  /// reason.
+  int decisions(const std::string& action, const std::string& reason) const {
+    return observer_.count(action, reason);
+  }
 
  private:
   /// A sidecar and its upstream.
@@ -134,12 +144,25 @@
     LinkQueue in;
     LinkQueue out;
   };
-  class NullObserver final : public Observer {
-    void OnDecision(const FlowDecision&) override {}
+  /// Counts decisions by action and reason.
+  class CountingObserver final : public Observer {
+   public:
+    void OnDecision(const FlowDecision& decision) override {
+      ++counts_[{std::string(decision.action), std::string(decision.reason)}];
+    }
+    int count(const std::string& action, const std::string& reason) const {
+      const auto found = counts_.find({action, reason});
+      return found == counts_.end() ? 0 : found->second;
+    }
+
+   private:
+    std::map<std::pair<std::string, std::string>, int> counts_;
   };
 
   void After(std::chrono::microseconds delay, std::function<void()> run);
   void Tick();
+  /// Advances the owner lookups of a balancer at their interval.
+  void ScheduleLookups(int balancer);
   void ExecuteEffects(InstanceAddress from, Outbox& out);
   void Deliver(InstanceAddress from, InstanceAddress to, const Bytes& datagram);
   void DeliverToSidecar(InstanceAddress from, int index, const Bytes& datagram,
@@ -159,7 +182,7 @@
   TimePoint now_{std::chrono::seconds(1000)};
   std::uint64_t order_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
-  NullObserver observer_;
+  CountingObserver observer_;
   std::map<int, std::unique_ptr<Balancer>> balancers_;
   std::map<int, std::unique_ptr<SidecarHost>> sidecars_;
   std::vector<std::unique_ptr<FakeCaller>> callers_;
@@ -179,6 +202,9 @@
   double loss_ = 0;
   int wrong_resets_ = 0;
   std::uint64_t datagrams_ = 0;
+  std::uint64_t bytes_ = 0;
+  std::set<int> earlier_builds_;
+  std::set<int> advancing_;  ///< Balancers whose lookups are scheduled.
   bool ticking_ = false;
 };
 
