--- a/tests/platform/config_finding_log_test.cc
+++ b/tests/platform/config_finding_log_test.cc
@@ -141,7 +141,7 @@
 
 BOOST_AUTO_TEST_CASE(WarningsInForceAreAMetric) {
   const auto text = FormatBalancerMetrics(
-      {}, {}, 0, {.in_force = 7, .stored = 7, .warnings = 3});
+      {}, {}, 0, {.in_force = 7, .stored = 7, .warnings = 3}, 0);
   BOOST_TEST(text.find("\ncowslip_config_warnings 3") != std::string::npos);
 }
 
