--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -3,8 +3,8 @@
 #include <cstdint>
 
 #include "cowslip/base.h"
-#include "cowslip/segment/placement_counts.h"
 #include "cowslip/scheduling.h"
+#include "cowslip/segment/placement_counts.h"
 
 namespace cowslip::segment {
 
--- a/packages/segment/include/cowslip/segment/syn_refusal.h
+++ b/packages/segment/include/cowslip/segment/syn_refusal.h
@@ -43,7 +43,6 @@
   static bool HasRunNowhere(const PendingPacket& syn, bool classified);
 
  private:
-
   RefusedCallers refused_callers_;
 };
 
