--- a/tests/segment/owner_lookup_test.cc
+++ b/tests/segment/owner_lookup_test.cc
@@ -66,10 +66,9 @@
 
 }  // namespace
 
-// Platform day lienthep-gw-grown trouble-1: sidecars restart beside processes
-// that return each packet and send no report. They stayed undecided for as long
-// as packets came.
-BOOST_AUTO_TEST_CASE(ReturnedPacketsAloneAreNoSignOfAnUpstream) {
+// Guards against sidecars that stay undecided for as long as packets come: they
+// restart beside processes that return each packet and send no report.
+BOOST_AUTO_TEST_CASE(ReturnedPacketsAloneAreNoEvidenceOfAnUpstream) {
   Simulation sim;
   sim.AddBalancer(0);
   AddService(sim, 4);
@@ -98,9 +97,9 @@
   BOOST_TEST(sim.wrong_resets() == 0);
 }
 
-// A returned packet is a sign of life of an upstream whose reports arrive, so
+// A returned packet is evidence of an upstream whose reports arrive, so
 // that a delayed one is not taken for a crash.
-BOOST_AUTO_TEST_CASE(ReturnedPacketsOfAReportingUpstreamAreASignOfLife) {
+BOOST_AUTO_TEST_CASE(ReturnedPacketsOfAReportingUpstreamAreEvidence) {
   UpstreamLivenessTimer timer;
   TimePoint now{seconds(1000)};
   const auto run = [&](int ticks) {
