Refuse every SYN through one function, with the reason as a type

Cause: refusals because of an evacuation and for lack of capacity were counted, logged and reset in two places, and cowslip_refused_total lacked the reason 'evacuated'. The pass over all members for capacity also ran when no member had refused for lack of capacity. Change: RefusalReason and RefusalCounts; SynRefusal decides about evacuations too; the pass runs only after such a refusal. Measured: scheduling_failure_test (extended), adapter_test, segment_test, segment_evacuation_test pass.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -22,6 +22,8 @@
 #include "cowslip/segment/owner_query.h"              // IWYU pragma: export
 #include "cowslip/segment/placement.h"                // IWYU pragma: export
 #include "cowslip/segment/placement_counts.h"         // IWYU pragma: export
+#include "cowslip/segment/refusal_counts.h"           // IWYU pragma: export
+#include "cowslip/segment/refusal_reason.h"           // IWYU pragma: export
 #include "cowslip/segment/refused_callers.h"          // IWYU pragma: export
 #include "cowslip/segment/request_dispatcher.h"       // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -138,7 +138,9 @@
   /// @return whether a route or member that a SYN needs may be missing only
   /// because this process has just started.
   bool MayLackMembers(const Segment& segment, TimePoint now) const;
-  void RefuseSyn(const Segment& segment, Outbox& out);
+  void RefuseSyn(const Segment& segment, RefusalReason reason, Outbox& out);
+  /// Refuses a SYN whose address has no route, or its service no members.
+  void RefuseWithoutMember(const Segment& segment, Outbox& out);
   void QueueSyn(PendingPacket&& pending, TimePoint now);
   void HandleExistingFlow(const Segment& segment, ByteView packet,
                           const Route& route, TimePoint now, Outbox& out);
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -5,6 +5,7 @@
 #include "cowslip/base.h"
 #include "cowslip/scheduling.h"
 #include "cowslip/segment/placement_counts.h"
+#include "cowslip/segment/refusal_counts.h"
 
 namespace cowslip::segment {
 
@@ -38,12 +39,7 @@
   /// SYNs refused because all visited data centres are evacuated.
   std::uint64_t evacuated = 0;
   /// Refused SYNs by the priority of their route.
-  struct Refusals {
-    std::uint64_t no_route = 0;
-    std::uint64_t no_member = 0;
-    std::uint64_t no_answer_in_time = 0;
-  };
-  scheduling::PriorityCounts<Refusals> refused;
+  scheduling::PriorityCounts<RefusalCounts> refused;
   /// SYNs sent to one member with capacity instead of being refused.
   std::uint64_t forced = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
--- a/packages/segment/include/cowslip/segment/syn_refusal.h
+++ b/packages/segment/include/cowslip/segment/syn_refusal.h
@@ -11,10 +11,11 @@
 
 /// What becomes of a SYN that no member of its list has accepted.
 enum class SynOutcome : std::uint8_t {
-  kRefuse,  ///< The caller gets a reset: nothing has run.
-  kForce,   ///< Goes to one member with capacity, which takes it if it can
-            ///< answer before the time limit.
-  kWait,    ///< Is offered to the members again a little later.
+  kRefuse,     ///< The caller gets a reset: nothing has run.
+  kEvacuated,  ///< As kRefuse, as all visited data centres are evacuated.
+  kForce,      ///< Goes to one member with capacity, which takes it if it can
+               ///< answer before the time limit.
+  kWait,       ///< Is offered to the members again a little later.
 };
 
 /// Decides whether a SYN is refused or waits for room.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -104,7 +104,7 @@
     if (MayLackMembers(segment, now)) {
       QueueSyn(std::move(pending), now);
     } else {
-      RefuseSyn(segment, out);
+      RefuseWithoutMember(segment, out);
     }
     return;
   }
@@ -119,16 +119,6 @@
          routes_->Find(segment.flow.service) != nullptr;
 }
 
-void Balancer::RefuseSyn(const Segment& segment, Outbox& out) {
-  const bool routed = routes_->Find(segment.flow.service) != nullptr;
-  ++(routed ? stats_.no_member : stats_.no_route);
-  auto& refused = stats_.refused[PriorityOf(segment)];
-  ++(routed ? refused.no_member : refused.no_route);
-  ++stats_.resets;
-  LogDecision("refuse", routed ? "no_member" : "no_route", segment.flow);
-  out.SendReset(segment.flow, 0);
-}
-
 void Balancer::QueueSyn(PendingPacket&& pending, TimePoint now) {
   if (pending_.size() >= kMaxPending) {
     ++stats_.unwatched;
@@ -414,7 +404,7 @@
     return true;
   }
   if (!MayLackMembers(pending.segment, now)) {
-    RefuseSyn(pending.segment, out);
+    RefuseWithoutMember(pending.segment, out);
     return false;
   }
   pending.next_attempt = now + kSynRetryInterval;
--- a/packages/segment/src/balancer_refusal.cc
+++ b/packages/segment/src/balancer_refusal.cc
@@ -17,6 +17,21 @@
   return route == nullptr ? RequestClass::kUnknownPriority : route->priority;
 }
 
+void Balancer::RefuseSyn(const Segment& segment, RefusalReason reason,
+                         Outbox& out) {
+  ++stats_.refused[PriorityOf(segment)][reason];
+  ++stats_.resets;
+  LogDecision("refuse", ToString(reason), segment.flow);
+  out.SendReset(segment.flow, 0);
+}
+
+void Balancer::RefuseWithoutMember(const Segment& segment, Outbox& out) {
+  const bool routed = routes_->Find(segment.flow.service) != nullptr;
+  ++(routed ? stats_.no_member : stats_.no_route);
+  RefuseSyn(segment,
+            routed ? RefusalReason::kNoMember : RefusalReason::kNoRoute, out);
+}
+
 bool Balancer::ForceChoice(PendingPacket& syn, TimePoint now) {
   // The member with the least expected wait would get the SYNs of all balancers
   // until its next report. Of two that the flow chooses, the better one is
@@ -54,30 +69,25 @@
 
 bool Balancer::OnSynNotAccepted(PendingPacket& syn, const Ack& ack,
                                 TimePoint now, Outbox& out) {
-  const auto& flow = syn.segment.flow;
-  const auto* route = routes_->Find(flow.service);
+  const auto* route = routes_->Find(syn.segment.flow.service);
   // Members of earlier builds decide by the latency target alone.
   const bool classified = route != nullptr && route->IsClassified() &&
                           members_.AllReadRequestClass();
+  // A pass over all members, needed only if one refused for lack of capacity.
   const bool has_capacity =
+      ack.overloaded &&
       members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
         return sidecar_states_.Capacity(member, now) > 0;
       });
-  if (ack.evacuated && SynRefusal::HasRunNowhere(syn, classified)) {
-    ++stats_.evacuated;
-    ++stats_.resets;
-    LogDecision("refuse", "evacuated", flow);
-    out.SendReset(flow, 0);
-    return false;
-  }
   syn.awaiting_ack_from = 0;
   switch (syn_refusal_.Decide(syn, ack, classified, has_capacity, now)) {
     case SynOutcome::kRefuse:
       ++stats_.overloaded;
-      ++stats_.resets;
-      ++stats_.refused[PriorityOf(syn.segment)].no_answer_in_time;
-      LogDecision("refuse", "no_answer_in_time", flow);
-      out.SendReset(flow, 0);
+      RefuseSyn(syn.segment, RefusalReason::kNoAnswerInTime, out);
+      return false;
+    case SynOutcome::kEvacuated:
+      ++stats_.evacuated;
+      RefuseSyn(syn.segment, RefusalReason::kEvacuated, out);
       return false;
     case SynOutcome::kForce:
       if (MayResend(syn, now) && ForceChoice(syn, now)) {
--- a/packages/segment/src/syn_refusal.cc
+++ b/packages/segment/src/syn_refusal.cc
@@ -13,11 +13,11 @@
 SynOutcome SynRefusal::Decide(const PendingPacket& syn, const Ack& ack,
                               bool classified, bool has_capacity,
                               TimePoint now) {
+  if (!HasRunNowhere(syn, classified)) return SynOutcome::kWait;
+  if (ack.evacuated) return SynOutcome::kEvacuated;
   // Members that accept no connections, as they are draining or starting, say
   // nothing about the time limit.
-  if (!ack.overloaded || !HasRunNowhere(syn, classified)) {
-    return SynOutcome::kWait;
-  }
+  if (!ack.overloaded) return SynOutcome::kWait;
   // Only the member that was chosen has been asked.
   if (syn.frame.forced) return SynOutcome::kWait;
   const auto& flow = syn.segment.flow;
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -301,8 +301,8 @@
   BOOST_TEST(count(text, "\ncowslip_idle_slots_while_waiting_total 0") == 1);
 
   segment::BalancerStats stats;
-  stats.refused[1].no_answer_in_time = 3;
-  stats.refused[200].no_member = 4;
+  stats.refused[1][segment::RefusalReason::kNoAnswerInTime] = 3;
+  stats.refused[200][segment::RefusalReason::kNoMember] = 4;
   const auto refusals = FormatBalancerMetrics(stats, {}, 0, {}, 0);
   BOOST_TEST(count(refusals, "# TYPE cowslip_refused_total") == 1);
   BOOST_TEST(
--- a/tests/segment/scheduling_failure_test.cc
+++ b/tests/segment/scheduling_failure_test.cc
@@ -468,6 +468,12 @@
   closed.overloaded = false;
   BOOST_TEST((refusal.Decide(MakeSyn(4), closed, true, false, kStart) ==
               SynOutcome::kWait));
+  // An evacuation is refused under the same condition.
+  closed.evacuated = true;
+  BOOST_TEST((refusal.Decide(MakeSyn(5), closed, true, false, kStart) ==
+              SynOutcome::kEvacuated));
+  BOOST_TEST(
+      (refusal.Decide(lost, closed, true, false, kStart) == SynOutcome::kWait));
 }
 
 // Guards against callers that are refused at every attempt although others are
