Flows of a suspended upstream are not reset

Cause: a sidecar took its upstream for dead when no report came for two intervals and 200 ms, reset the upstream's flows and left the member lists, also while the upstream was only suspended (soak).

Change: the sidecar looks up the UDP socket at the upstream's address in the kernel's table (sock_diag). A silent upstream whose reporting socket is still there keeps its flows and its membership, and gets no new connections, for at most 70 s. That counts only if the port has been seen closed while there was no upstream; otherwise silence decides as before, so a crash is not noticed later in any environment. The entry in gossip messages hands that knowledge on to the next process of the instance (optional field).

--- a/packages/peers/include/cowslip/peers/gossip.h
+++ b/packages/peers/include/cowslip/peers/gossip.h
@@ -119,6 +119,11 @@
   void SetOpen(bool on, std::uint64_t id, TimePoint now);
   /// Publishes that this sidecar has no upstream, until the next SetOpen().
   void SetNoUpstream(TimePoint now);
+  /// Sets PeerEntry::port_tracks_upstream. It is published with the next other
+  /// change, so that it costs no message.
+  void SetPortTracksUpstream(bool tracks) {
+    self_.port_tracks_upstream = tracks;
+  }
   /// Publishes that this instance is stopping as planned.
   void Leave(TimePoint now);
   /// Sets the configuration version and the watcher flag sent in messages.
--- a/packages/peers/include/cowslip/peers/peer_entry.h
+++ b/packages/peers/include/cowslip/peers/peer_entry.h
@@ -32,6 +32,9 @@
   bool left = false;  ///< The instance has stopped as planned.
   bool no_upstream =
       false;  ///< The sidecar has no upstream, so it owns no flows.
+  /// The upstream's port has been seen closed while there was no upstream. The
+  /// next process of the instance need not see it again.
+  bool port_tracks_upstream = false;
 
   bool operator==(const PeerEntry&) const = default;
   /// @return whether the store has come back from a copy since the entry was
--- a/packages/peers/src/message.cc
+++ b/packages/peers/src/message.cc
@@ -36,6 +36,7 @@
   entry.accepts = raw.open();
   entry.left = raw.left();
   entry.no_upstream = raw.vacant();
+  entry.port_tracks_upstream = raw.port_tracks_upstream();
   entry.upstream = raw.upstream();
   entry.lease = raw.lease();
   entry.lease_era = raw.lease_era();
@@ -135,7 +136,7 @@
         entry.sequence, entry.service.c_str(), entry.accepts, entry.left,
         entry.upstream, entry.lease, entry.no_upstream, entry.lease_era,
         entry.data_center.empty() ? nullptr : entry.data_center.c_str(),
-        entry.frame_version));
+        entry.frame_version, entry.port_tracks_upstream));
   }
   std::vector<std::uint16_t> runs;
   std::vector<std::uint32_t> digests;
--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -34,3 +34,5 @@
 #include "cowslip/segment/syn_refusal.h"              // IWYU pragma: export
 #include "cowslip/segment/upstream_gate.h"            // IWYU pragma: export
 #include "cowslip/segment/upstream_liveness_timer.h"  // IWYU pragma: export
+#include "cowslip/segment/upstream_port.h"            // IWYU pragma: export
+#include "cowslip/segment/upstream_presence.h"        // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -17,7 +17,7 @@
 #include "cowslip/segment/request_dispatcher.h"
 #include "cowslip/segment/sidecar_stats.h"
 #include "cowslip/segment/upstream_gate.h"
-#include "cowslip/segment/upstream_liveness_timer.h"
+#include "cowslip/segment/upstream_presence.h"
 
 namespace cowslip::segment {
 
@@ -32,7 +32,7 @@
 
   /// Sets the interval at which the upstream sends its reports.
   void SetReportInterval(std::chrono::milliseconds interval) {
-    liveness_.SetReportInterval(interval);
+    presence_.SetReportInterval(interval);
     unseen_flows_.SetReportInterval(interval);
   }
 
@@ -95,11 +95,11 @@
   }
   /// @return whether the upstream takes new connections.
   bool upstream_ready() const {
-    return upstream_state_.open() && !stopping_ && !liveness_.is_missing();
+    return upstream_state_.open() && !stopping_ && !presence_.is_silent();
   }
   /// @return whether there is no upstream, so that no flow can be owned here.
   bool has_no_upstream() const {
-    return liveness_.is_missing() ||
+    return presence_.is_absent() ||
            upstream_state_.state() == Lifecycle::kDeregistered;
   }
   /// @return whether it is not known yet if there is an upstream.
@@ -111,6 +111,9 @@
     return unseen_flows_.MayExist(now);
   }
   const UpstreamStateTracker& gate() const { return upstream_state_; }
+  /// Whether there is an upstream process. The caller looks up its socket.
+  UpstreamPresence& presence() { return presence_; }
+  const UpstreamPresence& presence() const { return presence_; }
   const SidecarStats& stats() const { return stats_; }
   const LoadEstimator& load() const { return requests_.load(); }
   /// @return requests that wait for a slot of the upstream.
@@ -157,7 +160,7 @@
   /// @return whether the upstream is known to run.
   bool UpstreamIsAlive() const {
     const auto state = upstream_state_.state();
-    return !liveness_.is_missing() &&
+    return !presence_.is_silent() &&
            (state == Lifecycle::kAccepting || state == Lifecycle::kDraining);
   }
   /// @return whether the upstream may own flows that are missing from the flow
@@ -194,7 +197,7 @@
   /// back from a copy.
   bool newest_config_in_use_ = false;
   UpstreamStateTracker upstream_state_;
-  UpstreamLivenessTimer liveness_;
+  UpstreamPresence presence_;
   FlowStateTable flows_;
   FrameRing sent_frames_;
   PendingSynQueue pending_syns_;
--- a/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
+++ b/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
@@ -7,12 +7,13 @@
 
 namespace cowslip::segment {
 
-/// Detects that there is no upstream process, from the time without any sign of
-/// it while this process ran.
+/// Detects that nothing comes from the upstream, from the time without any sign
+/// of it while this process ran.
 ///
 /// Handles an upstream that crashes for good, or does not return after a power
 /// loss, while its sidecar runs: its flows are lost, and the sidecar must not
-/// delay the lookup of flows of other upstreams.
+/// delay the lookup of flows of other upstreams. UpstreamPresence tells such an
+/// upstream from a suspended one.
 class UpstreamLivenessTimer {
  public:
   /// Interval of upstream reports unless configured otherwise.
@@ -41,12 +42,20 @@
   }
   /// A packet of the upstream arrived.
   void OnActivity() { idle_time_ = Duration{}; }
-  void OnTick(TimePoint now) {
+  /// @return the time since the last call in which this process ran.
+  Duration OnTick(TimePoint now) {
+    Duration elapsed{};
     if (last_tick_ != TimePoint{}) {
-      idle_time_ += std::min<Duration>(now - last_tick_, kMaxTickInterval);
+      elapsed = std::min<Duration>(now - last_tick_, kMaxTickInterval);
     }
+    idle_time_ += elapsed;
     last_tick_ = now;
+    return elapsed;
   }
+  /// @return the time without any sign of the upstream.
+  Duration idle_time() const { return idle_time_; }
+  /// @return whether a report is late, or none has reached this process.
+  bool is_overdue() const { return !has_report_ || idle_time_ > timeout_ / 2; }
   /// @return whether kMissedReports reports in a row are overdue.
   bool is_missing() const { return idle_time_ > timeout_; }
 
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -43,7 +43,7 @@
 }
 
 bool Sidecar::UpstreamMayOwnUnseenFlows(TimePoint now) const {
-  if (liveness_.is_missing()) return false;
+  if (presence_.is_absent()) return false;
   return unseen_flows_.MayExist(now);
 }
 
@@ -154,7 +154,7 @@
   auto* row = flows_.Find(segment.flow);
   switch (OwnershipOf(row, segment, now)) {
     case Ownership::kOwned:
-      if (liveness_.is_missing()) {
+      if (presence_.is_absent()) {
         ResetLostFlow(*row, "upstream_absent", segment, now, out);
         return;
       }
@@ -260,7 +260,7 @@
 void Sidecar::OnUpstreamPacket(const Segment& segment, ByteView packet,
                                TimePoint now, Outbox& out) {
   ++stats_.to_callers;
-  liveness_.OnActivity();
+  presence_.OnActivity();
   upstream_state_.OnAnswered();
   RecordUpstreamPacket(segment, now);
   out.SendToCaller(segment.flow, packet);
@@ -308,7 +308,7 @@
 void Sidecar::OnReturned(std::uint32_t token, const Segment& segment,
                          ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.bounced;
-  liveness_.OnReturned();
+  presence_.OnReturned();
   upstream_state_.OnAnswered();
   auto* entry = flows_.Find(segment.flow);
   const auto frame = sent_frames_.Find(token, segment.flow);
@@ -368,7 +368,7 @@
 }
 
 void Sidecar::OnTick(TimePoint now, Outbox& out) {
-  liveness_.OnTick(now);
+  presence_.OnTick(now);
   EndQueries(now, out);
   while (!pending_syns_.empty() && now >= pending_syns_.front().due) {
     auto pending_syn = pending_syns_.front();
@@ -427,7 +427,7 @@
 ReportResult Sidecar::OnReport(const UpstreamReport& report, TimePoint now) {
   const auto result = upstream_state_.OnReport(report, now);
   if (result == ReportResult::kOutdated) return result;
-  liveness_.OnReport();
+  presence_.OnReport(result == ReportResult::kNewIncarnation);
   unseen_flows_.OnReport(report, now);
   requests_.OnReport(report, result == ReportResult::kNewIncarnation, now);
   return result;
--- a/tests/peers_test.cc
+++ b/tests/peers_test.cc
@@ -117,6 +117,7 @@
   entry.address = 1;
   entry.data_center = "lima-ate";
   entry.frame_version = 1;
+  entry.port_tracks_upstream = true;
   message.entries = {entry, PeerEntry{}};
   const auto read = Decode(Encode(message));
   BOOST_REQUIRE(read.has_value());
--- a/tests/platform/unseen_flows_test.cc
+++ b/tests/platform/unseen_flows_test.cc
@@ -1,5 +1,6 @@
 // Tests with real processes that no open flow is reset by an instance that has
-// missed something: regression tests of the faults that a review found.
+// missed something: regression tests of the faults that a review found, and of
+// flows that were reset while their upstream was suspended.
 #define BOOST_TEST_MODULE platform_unseen_flows
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -46,6 +47,15 @@
       BOOST_TEST((caller->state() == CallState::kAnswered));
     }
   }
+  /// @return the callers whose flows an upstream holds.
+  std::vector<FakeCaller*> CallersOf(const standins::UpstreamHost& upstream) {
+    std::vector<FakeCaller*> held;
+    std::copy_if(
+        callers.begin(), callers.end(), std::back_inserter(held),
+        [&](const auto* each) { return upstream.Holds(each->flow()); });
+    BOOST_TEST(!held.empty());
+    return held;
+  }
   void KillAll() {
     for (auto* machines : {&site->balancers(), &site->sidecars()}) {
       for (auto& machine : *machines) machine->Signal(SIGKILL);
@@ -83,6 +93,14 @@
   StoppedSidecarFixture() : Fixture(24) {}
 };
 
+struct SuspendedUpstreamFixture : Fixture {
+  SuspendedUpstreamFixture() : Fixture(25) {}
+};
+
+struct CrashedUpstreamFixture : Fixture {
+  CrashedUpstreamFixture() : Fixture(26) {}
+};
+
 }  // namespace
 
 // The entry of a sidecar named the upstream's process before the last one when
@@ -110,10 +128,7 @@
   OpenFlows(40);
   auto& upstream = *site->upstreams().front();
   auto& sidecar = *site->sidecars().front();
-  std::vector<FakeCaller*> lost;
-  std::copy_if(callers.begin(), callers.end(), std::back_inserter(lost),
-               [&](const auto* each) { return upstream.Holds(each->flow()); });
-  BOOST_TEST(!lost.empty());
+  const auto lost = CallersOf(upstream);
   upstream.Crash(seconds(60));
   for (auto& balancer : site->balancers()) balancer->Signal(SIGKILL);
   sidecar.Signal(SIGKILL);
@@ -138,4 +153,48 @@
   }
 }
 
+// Guards against the reset of flows of a living upstream that only sends no
+// report (soak seed 211288704): neither its sidecar, also a restarted one, nor
+// a balancer that has just started may take its flows for lost.
+BOOST_FIXTURE_TEST_CASE(FlowsOfASuspendedUpstreamSurvive,
+                        SuspendedUpstreamFixture) {
+  OpenFlows(40);
+  for (const bool restart_sidecar : {false, true}) {
+    auto& upstream = *site->upstreams().front();
+    auto& sidecar = *site->sidecars().front();
+    CallersOf(upstream);
+    if (restart_sidecar) {
+      sidecar.Signal(SIGKILL);
+      RunFor(site->loop(), kRestartDelay);
+      sidecar.RestartIfEnded();
+      RunFor(site->loop(), seconds(2));
+    }
+    upstream.Suspend(seconds(4));
+    RunFor(site->loop(), seconds(1));
+    site->balancers().front()->Signal(SIGKILL);
+    RunFor(site->loop(), kRestartDelay);
+    site->balancers().front()->RestartIfEnded();
+    RunFor(site->loop(), milliseconds(1500));
+    CheckFlows();
+    RunFor(site->loop(), seconds(1));
+  }
+}
+
+// Guards against slower resets of the flows of a crashed upstream. Its sidecar
+// counts two reports of 300 ms and 200 ms from its last sign of life.
+BOOST_FIXTURE_TEST_CASE(FlowsOfACrashedUpstreamAreResetInTime,
+                        CrashedUpstreamFixture) {
+  OpenFlows(40);
+  auto& upstream = *site->upstreams().front();
+  const auto lost = CallersOf(upstream);
+  upstream.Crash(seconds(60));
+  RunFor(site->loop(), milliseconds(850));
+  for (auto* caller : lost) caller->Ask();
+  BOOST_TEST(RunUntil(site->loop(), milliseconds(150), [&] {
+    return std::ranges::all_of(lost, [](const auto* each) {
+      return each->state() == CallState::kReset;
+    });
+  }));
+}
+
 }  // namespace cowslip::platform_adapter::test
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -285,6 +285,90 @@
   BOOST_TEST((histogram.sum() == milliseconds(9004)));
 }
 
+namespace {
+
+/// Sockets found at the upstream's address in the phases of an upstream that
+/// reports for a while and then sends nothing; std::nullopt if they can't be
+/// looked up.
+struct PortCase {
+  std::string_view name;
+  std::optional<SocketId> before_report;
+  std::optional<SocketId> reporting;
+  std::optional<SocketId> silent;
+  bool survives;  ///< Its flows are kept while it is silent.
+};
+
+constexpr PortCase kPortCases[] = {
+    {"suspended", 0, 7, 7, true},
+    {"crashed", 0, 7, 0, false},
+    {"replaced by another process", 0, 7, 8, false},
+    {"port held by a proxy, or crash that keeps the port", 7, 7, 7, false},
+    {"in another network namespace", 0, 0, 0, false},
+    {"no look-ups", std::nullopt, std::nullopt, std::nullopt, false},
+    {"look-ups fail later", 0, 7, std::nullopt, false},
+};
+
+/// Runs the ticks of a sidecar; the port has a state meanwhile.
+void RunTicks(UpstreamPresence& presence, TimePoint& now, Duration time,
+              std::optional<SocketId> socket) {
+  constexpr milliseconds kTick{20};
+  for (const auto end = now + time; now < end;) {
+    now += kTick;
+    if (presence.PortLookupIsDue()) presence.OnPortLookup(socket);
+    presence.OnTick(now);
+  }
+}
+
+}  // namespace
+
+// Flows of a suspended upstream must not be reset, and those of a crashed one
+// after two reports and 200 ms, also where the port does not tell the two
+// apart.
+BOOST_AUTO_TEST_CASE(PortTellsSuspendedFromCrashedUpstream) {
+  for (const auto& each : kPortCases) {
+    BOOST_TEST_CONTEXT(each.name) {
+      UpstreamPresence presence;
+      presence.SetReportInterval(milliseconds(300));
+      auto now = kStart;
+      RunTicks(presence, now, seconds(1), each.before_report);
+      for (int i = 0; i < 4; ++i) {
+        presence.OnReport(/*new_process=*/false);
+        RunTicks(presence, now, milliseconds(300), each.reporting);
+      }
+      presence.OnReport(/*new_process=*/false);
+      RunTicks(presence, now, milliseconds(800), each.silent);
+      BOOST_TEST(!presence.is_silent());
+      RunTicks(presence, now, milliseconds(20), each.silent);
+      BOOST_TEST(presence.is_silent());
+      BOOST_TEST(presence.is_absent() == !each.survives);
+      RunTicks(presence, now, UpstreamPresence::kMaxSilence, each.silent);
+      BOOST_TEST(presence.is_absent());
+    }
+  }
+}
+
+// A socket that outlives one process of the upstream is no evidence of the next
+// one, nor is one that is open again after it was closed.
+BOOST_AUTO_TEST_CASE(SocketThatOutlivesItsProcessIsNoEvidence) {
+  UpstreamPresence presence;
+  auto now = kStart;
+  presence.AdoptPortTracking();
+  presence.OnReport(/*new_process=*/false);
+  RunTicks(presence, now, seconds(3), 7);
+  BOOST_TEST(!presence.is_absent());
+  RunTicks(presence, now, milliseconds(200), 0);
+  BOOST_TEST(presence.is_absent());
+  RunTicks(presence, now, seconds(1), 7);
+  BOOST_TEST(presence.is_absent());
+  presence.OnReport(/*new_process=*/true);
+  RunTicks(presence, now, seconds(3), 7);
+  BOOST_TEST(!presence.is_absent());
+  presence.OnReport(/*new_process=*/true);
+  BOOST_TEST(!presence.port_tracks_upstream());
+  RunTicks(presence, now, seconds(3), 7);
+  BOOST_TEST(presence.is_absent());
+}
+
 BOOST_AUTO_TEST_CASE(NewFlowsFollowRouteWeights) {
   Route route;
   route.targets = {{TagOf("a"), 90}, {TagOf("b"), 10}};
