Sidecars without upstream say so before their machine is taken away

Cause: after a power loss, a machine whose upstream had deregistered starts its sidecar beside a process that only returns packets. Change: if a process without any report has returned three packets and sent nothing else, the first report is waited for 1.5 intervals and 200 ms. Measured: ProcessThatOnlyReturnsPacketsIsNoUpstream fails before.

--- a/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
+++ b/packages/segment/include/cowslip/segment/upstream_liveness_timer.h
@@ -27,8 +27,15 @@
   /// process was suspended and could not receive anything.
   static constexpr std::chrono::milliseconds kMaxTickInterval{100};
 
+  /// Packets that a process without reports has returned, with nothing else
+  /// from it, after which the first report is not waited for as long.
+  static constexpr int kReturnedPackets = 3;
+  /// Latest arrival of the first report after the start of this process, in
+  /// percent of the interval. Reports are sent at varying intervals.
+  static constexpr int kFirstReportPercent = 150;
+
   void SetReportInterval(std::chrono::milliseconds interval) {
-    timeout_ = kMissedReports * interval + kReportSlack;
+    interval_ = interval;
   }
   /// A report of the upstream arrived.
   void OnReport() {
@@ -36,12 +43,21 @@
     OnActivity();
   }
   /// The upstream has returned a packet. A process that sends no reports is no
-  /// upstream that owns flows, although it returns packets.
+  /// upstream that owns flows, although it returns packets. After a power loss,
+  /// its machine may be taken away before two reports are overdue, and as a
+  /// listed member that is silent, it keeps all lookups from ending.
   void OnReturned() {
-    if (has_report_) OnActivity();
+    if (has_report_) {
+      OnActivity();
+    } else {
+      ++returned_;
+    }
   }
   /// A packet of the upstream arrived.
-  void OnActivity() { idle_time_ = Duration{}; }
+  void OnActivity() {
+    idle_time_ = Duration{};
+    has_activity_ = true;
+  }
   /// @return the time since the last call in which this process ran.
   Duration OnTick(TimePoint now) {
     Duration elapsed{};
@@ -55,14 +71,25 @@
   /// @return the time without any sign of the upstream.
   Duration idle_time() const { return idle_time_; }
   /// @return whether a report is late, or none has reached this process.
-  bool is_overdue() const { return !has_report_ || idle_time_ > timeout_ / 2; }
-  /// @return whether kMissedReports reports in a row are overdue.
-  bool is_missing() const { return idle_time_ > timeout_; }
+  bool is_overdue() const { return !has_report_ || idle_time_ > Timeout() / 2; }
+  /// @return whether kMissedReports reports in a row are overdue, or the first
+  /// one of a process that only returns packets.
+  bool is_missing() const { return idle_time_ > Timeout(); }
 
  private:
-  Duration timeout_ = kMissedReports * kDefaultReportInterval + kReportSlack;
+  Duration Timeout() const {
+    const bool only_returns =
+        !has_report_ && !has_activity_ && returned_ >= kReturnedPackets;
+    const Duration due = only_returns ? interval_ * kFirstReportPercent / 100
+                                      : interval_ * kMissedReports;
+    return due + kReportSlack;
+  }
+
+  std::chrono::milliseconds interval_ = kDefaultReportInterval;
   Duration idle_time_{};
-  bool has_report_ = false;  ///< Some report reached this process.
+  int returned_ = 0;           ///< Packets returned before the first report.
+  bool has_activity_ = false;  ///< A report, or a packet that was not returned.
+  bool has_report_ = false;    ///< Some report reached this process.
   TimePoint last_tick_{};
 };
 
--- a/tests/segment/owner_lookup_test.cc
+++ b/tests/segment/owner_lookup_test.cc
@@ -97,6 +97,34 @@
   BOOST_TEST(sim.wrong_resets() == 0);
 }
 
+// Guards against machines that are taken away 2.2 s after a power loss, before
+// two reports of 1.2 s are overdue: nobody could tell afterwards that they had
+// no upstream, and no lost flow was reset for 70 s.
+BOOST_AUTO_TEST_CASE(ProcessThatOnlyReturnsPacketsIsNoUpstream) {
+  struct Case {
+    int returned;
+    bool active;
+    milliseconds missing_after;
+  };
+  for (const auto& each :
+       {Case{3, false, milliseconds(2000)}, Case{2, false, milliseconds(2600)},
+        Case{3, true, milliseconds(2600)}}) {
+    UpstreamLivenessTimer timer;
+    timer.SetReportInterval(milliseconds(1200));
+    TimePoint now{seconds(1000)};
+    timer.OnTick(now);
+    if (each.active) timer.OnActivity();
+    for (int i = 0; i < each.returned; ++i) timer.OnReturned();
+    for (auto time = milliseconds(0); time < each.missing_after;
+         time += milliseconds(20)) {
+      BOOST_TEST(!timer.is_missing());
+      timer.OnTick(now += milliseconds(20));
+    }
+    timer.OnTick(now += milliseconds(20));
+    BOOST_TEST(timer.is_missing());
+  }
+}
+
 // A returned packet is evidence of an upstream whose reports arrive, so
 // that a delayed one is not taken for a crash.
 BOOST_AUTO_TEST_CASE(ReturnedPacketsOfAReportingUpstreamAreEvidence) {
