Sidecars report responses, balancers place on outliers last

Cause: errors are quick, so an upstream that fails part of its requests while its health is good gets more connections than others.

ResponseMonitor follows each request in the sidecar by packet headers. The figures are in four bytes of acknowledgements that were padding, 0 in earlier builds. The balancer compares the members of a service at most every 100 ms as it places connections; outliers are offered a connection only after the list of the others has ended without one that takes it, or as a trial.

--- a/packages/segment/include/cowslip/segment.h
+++ b/packages/segment/include/cowslip/segment.h
@@ -24,6 +24,7 @@
 #include "cowslip/segment/placement_counts.h"         // IWYU pragma: export
 #include "cowslip/segment/refused_callers.h"          // IWYU pragma: export
 #include "cowslip/segment/request_dispatcher.h"       // IWYU pragma: export
+#include "cowslip/segment/response_monitor.h"         // IWYU pragma: export
 #include "cowslip/segment/retry_budget.h"             // IWYU pragma: export
 #include "cowslip/segment/round_trip_estimator.h"     // IWYU pragma: export
 #include "cowslip/segment/route_table.h"              // IWYU pragma: export
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -66,6 +66,7 @@
   /// Discards the state of a sidecar whose process has restarted.
   void OnSidecarRestart(InstanceAddress sidecar) {
     sidecar_states_.Erase(sidecar);
+    outliers_.Erase(outlier::MemberId{sidecar});
     lookups_.OnSidecarRestart(sidecar);
   }
 
@@ -105,6 +106,8 @@
 
   const RouteTable& routes() const { return *routes_; }
   const BalancerStats& stats() const { return stats_; }
+  /// @return members that fail or are slow beside their peers.
+  const outlier::OutlierDetector& outliers() const { return outliers_; }
   /// @return whether some service has a member.
   bool HasMembers() const { return members_.HasMembers(); }
   /// @return whether there are members and all of them have been unresponsive
@@ -189,6 +192,12 @@
   bool RetrySyn(PendingPacket& pending, TimePoint now, Outbox& out);
   bool RetryLookup(PendingPacket& pending, TimePoint now, Outbox& out);
   void OnNotFound(const Ack& ack, TimePoint now, Outbox& out);
+  /// No other member has accepted a SYN: offers it to outliers.
+  /// @return whether there are any that it was not offered to.
+  bool OfferToOutliers(PendingPacket& syn, const Ack& ack, TimePoint now,
+                       Outbox& out);
+  /// Asks outliers for reports, and logs which members are outliers.
+  void UpdateOutliers(TimePoint now, Outbox& out);
   /// Refuses a SYN that no member has accepted, or lets it wait.
   /// @return whether it stays pending.
   bool OnSynNotAccepted(PendingPacket& syn, const Ack& ack, TimePoint now,
@@ -197,6 +206,9 @@
   /// @return whether there is one.
   bool ForceChoice(PendingPacket& syn, TimePoint now);
   std::uint8_t PriorityOf(const Segment& segment) const;
+  bool IsOutlier(InstanceAddress member) const {
+    return outliers_.IsOutlier(outlier::MemberId{member});
+  }
   /// @return why a member that may own the flow may not have been asked; empty
   /// if all have been.
   std::string_view MembersUncertainty(const PendingPacket& pending,
@@ -213,6 +225,8 @@
   std::shared_ptr<const RouteTable> routes_;
   RouteHistory route_history_;
   SidecarStateTable sidecar_states_;
+  outlier::OutlierDetector outliers_;
+  TimePoint outliers_expired_at_{};
   CandidateSelector members_;
   flow::HintCache hints_;
   PendingPackets pending_;
--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -48,7 +48,10 @@
   std::uint64_t forced = 0;
   std::uint64_t unheld = 0;  ///< Candidate lists without the owner of a flow.
   std::uint64_t unwatched = 0;  ///< Not tracked: too many pending packets.
-  PlacementCounts placements;   ///< SYNs accepted by a sidecar.
+  /// New connections offered first to a member that fails or is slow beside its
+  /// peers, to see whether it has recovered.
+  std::uint64_t outlier_trials = 0;
+  PlacementCounts placements;  ///< SYNs accepted by a sidecar.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
   /// has accepted it.
   LatencyHistogram placement_time;
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -9,6 +9,7 @@
 
 #include "cowslip/base.h"
 #include "cowslip/flow.h"
+#include "cowslip/outlier.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/locality.h"
 #include "cowslip/segment/member.h"
@@ -28,9 +29,13 @@
 
   /// @param data_center DataCenterTag() of the balancer's own data centre, 0 if
   /// it is not known.
+  /// @param outliers nullptr if members are not compared.
   CandidateSelector(const SidecarStateTable& sidecar_states,
-                    std::uint64_t data_center)
-      : sidecar_states_(&sidecar_states), data_center_(data_center) {}
+                    std::uint64_t data_center,
+                    outlier::OutlierDetector* outliers = nullptr)
+      : sidecar_states_(&sidecar_states),
+        data_center_(data_center),
+        outliers_(outliers) {}
 
   /// Replaces the members of a service.
   /// @param joined_now whether members that were not listed before count as
@@ -72,12 +77,18 @@
     for (const auto& [tag, service] : services_) visit(tag, service.upstreams);
   }
 
-  /// Adds candidates for a new connection to a frame, the best first.
+  /// Adds candidates for a new connection to a frame, the best first. An
+  /// outlier whose trial is due comes first; others are not listed unless no
+  /// other member is responsive. @see ListOutliers()
   /// @param latency_target of the route.
-  /// @return whether there are any.
+  /// @return whether the connection is a trial.
   bool ListForNewFlow(std::uint64_t hash,
                       std::optional<std::chrono::milliseconds> latency_target,
                       TimePoint now, SegmentFrame& frame);
+  /// Adds the outliers of a service to a frame, at most kPlacementCandidates,
+  /// for a new connection that no other member has accepted.
+  /// @return whether there are any.
+  bool ListOutliers(std::uint64_t hash, TimePoint now, SegmentFrame& frame);
   /// Adds the members that may own a flow to a frame, the likeliest first:
   /// those of the own data centre that rank first, where Placement prefers
   /// them, then the ranking.
@@ -101,12 +112,27 @@
     bool spans_data_centers = false;
     TimePoint last_join{};  ///< When a member last joined.
     bool all_read_request_class = true;
+    TimePoint compared_at{};  ///< When its members were last compared.
   };
 
   /// @return whether a connection to a ranked member stays local. A member of
   /// an unknown data centre counts as local, as nothing speaks against it.
   static bool IsLocal(const Service& service, const Upstream& ranked);
-  bool IsCandidate(const Upstream& ranked, TimePoint now) const;
+  /// @return whether a member is open and responsive.
+  bool IsAvailable(const Upstream& ranked, TimePoint now) const;
+  /// @return whether it is neither unavailable nor an outlier.
+  bool IsCandidate(const Upstream& ranked, TimePoint now) const {
+    return IsAvailable(ranked, now) && !IsOutlier(ranked);
+  }
+  bool IsOutlier(const Upstream& ranked) const {
+    return outliers_ != nullptr &&
+           outliers_->IsOutlier(outlier::MemberId{Raw(ranked.id)});
+  }
+  /// Compares the members of a service, if they have not been lately.
+  void CompareMembers(Service& service, TimePoint now);
+  /// Adds an outlier whose trial is due, if there is one.
+  /// @return whether there is.
+  bool AppendTrial(TimePoint now, SegmentFrame& frame);
   /// Adds the candidates of Placement for a new connection.
   void AppendPlaced(const Service& service,
                     std::optional<std::chrono::milliseconds> latency_target,
@@ -135,6 +161,8 @@
 
   const SidecarStateTable* sidecar_states_;
   std::uint64_t data_center_;
+  outlier::OutlierDetector* outliers_;
+  std::vector<outlier::MemberId> compared_;
   std::unordered_map<ServiceTag, Service> services_;
   std::uint64_t removals_ = 0;
   flow::Ranking ranking_;
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -33,6 +33,7 @@
   /// Sequence number after the caller's data so far.
   std::uint32_t caller_next_seq = 0;
   bool caller_next_seq_valid = false;  ///< caller_next_seq is valid.
+  std::uint32_t request_seq = 0;       ///< Sequence number of the last request.
   std::uint32_t requests = 0;          ///< Requests so far.
   RequestStart request;                ///< The request in progress.
   scheduling::RequestTerms terms;      ///< Of its requests, as of the SYN.
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -8,6 +8,7 @@
 #include <span>
 
 #include "cowslip/base.h"
+#include "cowslip/outlier.h"
 #include "cowslip/segment/segment.h"
 
 namespace cowslip::segment {
@@ -107,6 +108,9 @@
   /// The SYN ran nowhere: all sidecars of the list refused it because their
   /// data centres are evacuated.
   bool evacuated = false;
+  /// Responses of the sender's upstream; share and time are those of the
+  /// service address of `flow`. std::nullopt from earlier builds.
+  std::optional<outlier::ResponseReport> responses;
   FlowKey flow;
   /// Acknowledgement number of the caller's packet.
   std::uint32_t caller_ack = 0;
--- a/packages/segment/include/cowslip/segment/load_estimator.h
+++ b/packages/segment/include/cowslip/segment/load_estimator.h
@@ -57,6 +57,11 @@
   /// got a slot, so that an upstream that became slow is noticed also while
   /// every request has to queue.
   void OnResponse(const RequestStart& request, TimePoint now);
+  /// @return how long a request in progress has had a slot; std::nullopt if
+  /// that is not known, as it began before a suspension or its slot's departure
+  /// is forgotten.
+  std::optional<Duration> TimeInSlot(const RequestStart& request,
+                                     TimePoint now) const;
   /// A request ended without a response.
   void OnRequestAborted(const RequestStart& request, TimePoint now);
   /// Some request ended without a response; the latest one counts as ended.
--- a/packages/segment/include/cowslip/segment/observer.h
+++ b/packages/segment/include/cowslip/segment/observer.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "cowslip/base.h"
+#include "cowslip/outlier.h"
 #include "cowslip/segment/frame.h"
 
 namespace cowslip::segment {
@@ -29,6 +30,8 @@
  public:
   virtual ~Observer() = default;
   virtual void OnDecision(const FlowDecision& decision) = 0;
+  /// A member has become an outlier, or is none any more.
+  virtual void OnOutlierChange(const outlier::OutlierChange&) {}
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/pending_packet.h
+++ b/packages/segment/include/cowslip/segment/pending_packet.h
@@ -43,6 +43,11 @@
   bool unacknowledged = false;
   /// The SYN was sent to one member with capacity.
   bool was_forced = false;
+  /// The SYN was offered to outliers, after all other members.
+  bool offered_to_outliers = false;
+  /// What these have answered, as in the acknowledgement.
+  bool others_overloaded = false;
+  bool others_evacuated = true;
   /// Whether the packet has been sent at all.
   bool sent = false;
   LookupStage stage = LookupStage::kFirstVisit;
--- a/packages/segment/include/cowslip/segment/request_dispatcher.h
+++ b/packages/segment/include/cowslip/segment/request_dispatcher.h
@@ -15,6 +15,7 @@
 #include "cowslip/segment/load_estimator.h"
 #include "cowslip/segment/observer.h"
 #include "cowslip/segment/outbox.h"
+#include "cowslip/segment/response_monitor.h"
 #include "cowslip/segment/segment.h"
 #include "cowslip/segment/sidecar_stats.h"
 #include "cowslip/segment/upstream_report.h"
@@ -82,6 +83,7 @@
   }
   const LoadEstimator& load() const { return load_; }
   /// @return requests that wait for a slot.
+  const ResponseMonitor& responses() const { return responses_; }
   std::size_t waiting() const { return scheduler_.waiting(); }
   /// @return number of restarts of the upstream that this process has seen.
   std::uint32_t upstream_restarts() const { return upstream_restarts_; }
@@ -119,6 +121,7 @@
   SidecarStats* stats_;
   Observer* observer_;
   LoadEstimator load_;
+  ResponseMonitor responses_;
   scheduling::RequestScheduler scheduler_;
   std::deque<ExpectedRequest> expected_requests_;
   std::uint32_t upstream_restarts_ = 0;
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -55,7 +55,7 @@
       started_(started),
       routes_(std::make_shared<RouteTable>()),
       route_history_(started),
-      members_(sidecar_states_, data_center),
+      members_(sidecar_states_, data_center, &outliers_),
       hints_(MakeHints()),
       lookups_(FirstQueryNumber(started), observer, round_trips_, stats_) {}
 
@@ -163,7 +163,10 @@
   frame.service = route->ChooseService(hash);
   if (segment.is_syn()) {
     frame.forced = false;
-    members_.ListForNewFlow(hash, route->latency_target, now, frame);
+    pending.offered_to_outliers = false;
+    const bool is_trial =
+        members_.ListForNewFlow(hash, route->latency_target, now, frame);
+    stats_.outlier_trials += is_trial ? 1 : 0;
   } else {
     frame.inconclusive = false;
     frame.other_service = false;
@@ -302,6 +305,10 @@
     LogDecision("member_answers", "receipt", state.flow, sidecar);
   }
   sidecar_states_.OnAck(sidecar, state, now);
+  if (state.responses) {
+    outliers_.OnReport(outlier::MemberId{sidecar}, state.flow.service,
+                       *state.responses, now);
+  }
   route_history_.OnVersionSeen(state.config);
 }
 
@@ -446,6 +453,7 @@
     entry = tracked ? std::next(entry) : pending_.erase(entry);
   }
   RequestReports(now, out);
+  UpdateOutliers(now, out);
   AdvanceLookups(now, out);
   for (const auto sidecar : sidecar_states_.TakeDueProbes(now)) {
     out.SendProbe(sidecar);
--- a/packages/segment/src/balancer_refusal.cc
+++ b/packages/segment/src/balancer_refusal.cc
@@ -23,16 +23,21 @@
   // nearly as good, and the load is spread.
   const auto hash = HashFlow(syn.segment.flow, kForcedChoiceSeed);
   std::uint32_t members = 0;
+  std::uint32_t outliers = 0;
   members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
-    members += sidecar_states_.Capacity(member, now) > 0 ? 1 : 0;
+    if (sidecar_states_.Capacity(member, now) == 0) return false;
+    ++(IsOutlier(member) ? outliers : members);
     return false;
   });
+  const bool only_outliers = members == 0;
+  if (only_outliers) members = outliers;
   if (members == 0) return false;
   const std::uint64_t choices[] = {hash % members, (hash >> 32) % members};
   InstanceAddress best = 0;
   std::uint32_t index = 0;
   members_.AnyMember(syn.frame.service, [&](InstanceAddress member) {
     if (sidecar_states_.Capacity(member, now) == 0) return false;
+    if (IsOutlier(member) != only_outliers) return false;
     const bool is_choice = index == choices[0] || index == choices[1];
     ++index;
     if (!is_choice) return false;
@@ -52,8 +57,14 @@
   return true;
 }
 
-bool Balancer::OnSynNotAccepted(PendingPacket& syn, const Ack& ack,
+bool Balancer::OnSynNotAccepted(PendingPacket& syn, const Ack& reported,
                                 TimePoint now, Outbox& out) {
+  if (OfferToOutliers(syn, reported, now, out)) return true;
+  Ack ack = reported;
+  if (syn.offered_to_outliers) {
+    ack.overloaded |= syn.others_overloaded;
+    ack.evacuated &= syn.others_evacuated;
+  }
   const auto& flow = syn.segment.flow;
   const auto* route = routes_->Find(flow.service);
   // Members of earlier builds decide by the latency target alone.
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -12,6 +12,9 @@
 /// Time without joins after which all members count as known. Heartbeats make
 /// up for a lost membership update within it.
 constexpr std::chrono::milliseconds kStabilityDelay{700};
+/// Interval at which the members of a service are compared. Half of the weight
+/// of what they report is from the last second.
+constexpr std::chrono::milliseconds kComparisonInterval{100};
 
 Upstream ToUpstream(const Member& member) {
   Upstream upstream;
@@ -56,6 +59,7 @@
   const auto previous = std::move(service);
   service = Service{};
   service.last_join = previous.last_join;
+  service.compared_at = previous.compared_at;
   service.all_read_request_class =
       std::all_of(members.begin(), members.end(),
                   [](const auto& each) { return each.frame_version >= 1; });
@@ -149,7 +153,7 @@
   });
 }
 
-bool CandidateSelector::IsCandidate(const Upstream& ranked,
+bool CandidateSelector::IsAvailable(const Upstream& ranked,
                                     TimePoint now) const {
   const auto sidecar = Raw(ranked.id);
   const bool listed_open = ranked.state == UpstreamState::kActive;
@@ -201,7 +205,9 @@
     TimePoint now, SegmentFrame& frame) {
   const auto service = services_.find(frame.service);
   if (service == services_.end()) return false;
+  CompareMembers(service->second, now);
   ranking_.Build(service->second.upstreams, hash);
+  const bool is_trial = AppendTrial(now, frame);
   if (service->second.spans_data_centers) {
     AppendPlaced(service->second, latency_target, now, frame);
   } else {
@@ -212,12 +218,56 @@
   // free slot, instead of forwarding it to the shortest queue.
   for (const auto* upstream : ranking_.order()) {
     const auto sidecar = Raw(upstream->id);
-    if (!sidecar_states_->IsUnresponsive(sidecar)) Append(frame, sidecar);
+    const bool is_last =
+        sidecar_states_->IsUnresponsive(sidecar) || IsOutlier(*upstream);
+    if (!is_last) Append(frame, sidecar);
   }
-  if (frame.hop_count > 0) return true;
+  if (frame.hop_count > 0) return is_trial;
+  if (ListOutliers(hash, now, frame)) return false;
   for (const auto* upstream : ranking_.order()) {
     Append(frame, Raw(upstream->id));
   }
+  return false;
+}
+
+void CandidateSelector::CompareMembers(Service& service, TimePoint now) {
+  if (outliers_ == nullptr || outliers_->empty()) return;
+  if (now - service.compared_at < kComparisonInterval) return;
+  service.compared_at = now;
+  compared_.clear();
+  for (const auto& upstream : service.upstreams) {
+    compared_.push_back(outlier::MemberId{Raw(upstream.id)});
+  }
+  outliers_->Evaluate(compared_, now);
+}
+
+bool CandidateSelector::AppendTrial(TimePoint now, SegmentFrame& frame) {
+  if (outliers_ == nullptr || outliers_->outliers() == 0) return false;
+  for (const auto* upstream : ranking_.order()) {
+    const outlier::MemberId member{Raw(upstream->id)};
+    if (!outliers_->IsTrialDue(member, now) || !IsAvailable(*upstream, now)) {
+      continue;
+    }
+    outliers_->OnTrial(member, now);
+    Append(frame, Raw(upstream->id));
+    return true;
+  }
+  return false;
+}
+
+bool CandidateSelector::ListOutliers(std::uint64_t hash, TimePoint now,
+                                     SegmentFrame& frame) {
+  if (outliers_ == nullptr || outliers_->outliers() == 0) return false;
+  const auto service = services_.find(frame.service);
+  if (service == services_.end()) return false;
+  frame.hop_count = 0;
+  ranking_.Build(service->second.upstreams, hash);
+  for (const auto* upstream : ranking_.order()) {
+    if (frame.hop_count == kPlacementCandidates) break;
+    if (IsOutlier(*upstream) && IsAvailable(*upstream, now)) {
+      Append(frame, Raw(upstream->id));
+    }
+  }
   return frame.hop_count > 0;
 }
 
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 
 #include "frame_generated.h"
+#include "response_codec.h"
 #include "wire_codec.h"
 
 namespace cowslip::segment {
@@ -102,6 +103,8 @@
   ack.free_slots = raw->free_slots();
   ack.overloaded = raw->overloaded() != 0;
   ack.evacuated = raw->evacuated() != 0;
+  ack.responses = DecodeResponses({raw->good_run(), raw->failures(),
+                                   raw->failure_share(), raw->response_time()});
   return ack;
 }
 
@@ -130,15 +133,18 @@
 }
 
 void AppendAck(const Ack& ack, Bytes& out) {
-  AppendRaw(
-      wire::Receipt(kMagic, static_cast<std::uint8_t>(FrameKind::kReceipt),
-                    static_cast<std::uint8_t>(ack.verdict), ack.syn ? 1 : 0,
-                    ack.open ? 1 : 0, ack.config, ack.expected_wait_us,
-                    ack.flow.caller.address, ack.flow.service.address,
-                    ack.flow.caller.port, ack.flow.service.port, ack.caller_ack,
-                    ack.next, ack.free_slots, ack.overloaded ? 1 : 0,
-                    ack.evacuated ? 1 : 0),
-      out);
+  EncodedResponses responses;
+  if (ack.responses) responses = EncodeResponses(*ack.responses);
+  AppendRaw(wire::Receipt(
+                kMagic, static_cast<std::uint8_t>(FrameKind::kReceipt),
+                static_cast<std::uint8_t>(ack.verdict), ack.syn ? 1 : 0,
+                ack.open ? 1 : 0, ack.config, ack.expected_wait_us,
+                ack.flow.caller.address, ack.flow.service.address,
+                ack.flow.caller.port, ack.flow.service.port, ack.caller_ack,
+                ack.next, ack.free_slots, ack.overloaded ? 1 : 0,
+                ack.evacuated ? 1 : 0, responses.good_run, responses.failures,
+                responses.failure_share, responses.response_time),
+            out);
 }
 
 void AppendProbe(Bytes& out) {
--- a/packages/segment/src/load_estimator.cc
+++ b/packages/segment/src/load_estimator.cc
@@ -93,6 +93,14 @@
   flow_loads_.OnServed(request.service, now - *start, now);
 }
 
+std::optional<Duration> LoadEstimator::TimeInSlot(const RequestStart& request,
+                                                  TimePoint now) const {
+  if (request.arrival < resumed_at_) return std::nullopt;
+  const auto start = ServiceStart(request);
+  if (!start) return std::nullopt;
+  return now - *start;
+}
+
 void LoadEstimator::OnFlowEnded(const RequestStart& request, TimePoint now) {
   if (request.number <= last_before_reset_) return;
   flow_loads_.OnFlowEnded(request.service, request.on_flow, now);
--- a/packages/segment/src/request_dispatcher.cc
+++ b/packages/segment/src/request_dispatcher.cc
@@ -152,6 +152,7 @@
                                          const Segment& segment,
                                          ByteView packet, TimePoint now) {
   const auto since = entry.first_request_since.value_or(now);
+  entry.request_seq = segment.seq;
   entry.first_request_since.reset();
   EndAnnouncement(segment.flow, entry);
   // An upstream that has restarted returns the packet at once, which resets the
@@ -182,6 +183,7 @@
     entry->request_in_progress = true;
     entry->request = start;
   }
+  responses_.OnStarted(flow, terms, now);
   if (IsActive(now)) stats_->waited[terms.priority].Record(waited);
 }
 
@@ -199,6 +201,7 @@
                                          const Segment& segment,
                                          TimePoint now) {
   entry.upstream_restarts = upstream_restarts_;
+  responses_.OnUpstreamPacket(entry, segment, load_, now);
   if (segment.length == 0 || !entry.request_in_progress) return;
   entry.request_in_progress = false;
   stats_->request_time.Record(now - entry.request.arrival);
@@ -208,6 +211,7 @@
 void RequestDispatcher::Release(const FlowKey& flow, FlowEntry& entry,
                                 TimePoint now) {
   EndAnnouncement(flow, entry);
+  responses_.OnFlowEnded(flow, now);
   if (entry.request_in_progress && scheduler_.Free(flow)) {
     load_.OnRequestAborted(entry.request, now);
   }
@@ -251,6 +255,7 @@
 }
 
 void RequestDispatcher::OnTick(TimePoint now, Outbox& out) {
+  responses_.OnTick(now);
   while (!expected_requests_.empty() && now >= expected_requests_.front().due) {
     const auto flow = expected_requests_.front().flow;
     expected_requests_.pop_front();
@@ -275,6 +280,7 @@
 
 void RequestDispatcher::OnResume(TimePoint now) {
   load_.OnResume(now);
+  responses_.OnResume();
   DropUnanswerable(now);
 }
 
@@ -288,6 +294,7 @@
     OnDropped(each, "upstream_restarted");
   }
   load_.Reset(now);
+  responses_.Reset();
 }
 
 std::uint32_t RequestDispatcher::Capacity(TimePoint now) const {
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -453,6 +453,7 @@
   ack.config = newest_config_;
   ack.expected_wait_us = static_cast<std::uint32_t>(
       requests_.ExpectedWait(now, ack.flow.service).count());
+  ack.responses = requests_.responses().Report(ack.flow.service, now);
   ack.free_slots =
       open() ? static_cast<std::uint16_t>(requests_.Capacity(now)) : 0;
 }
