--- a/tests/segment/load_plan.h
+++ b/tests/segment/load_plan.h
@@ -25,6 +25,18 @@
   std::vector<PlannedRequest> requests;
 };
 
+/// How an upstream fails requests while its health is good.
+enum class Failure { kSmallResponse, kReset, kNoResponse };
+
+/// A time in which an upstream fails part of its requests, or is slower.
+struct PlannedFault {
+  Duration from = std::chrono::hours(1);
+  Duration until = std::chrono::hours(1);
+  double share = 0;  ///< Of the requests that fail.
+  Failure failure = Failure::kSmallResponse;
+  double factor = 1;  ///< Of the service times.
+};
+
 /// An upstream. Its service times are the cost times a factor.
 struct PlannedUpstream {
   int data_center = 0;
@@ -36,6 +48,7 @@
   /// It accepts no connections in this time: its data centre is evacuated.
   Duration closed_from = std::chrono::hours(1);
   Duration closed_until = std::chrono::hours(1);
+  std::vector<PlannedFault> faults = {};
 };
 
 /// Load on the upstreams of one service.
--- a/tests/segment/load_replay.cc
+++ b/tests/segment/load_replay.cc
@@ -8,6 +8,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr ServiceTag kService{7};
 constexpr std::uint64_t kFirstDataCenter = 1;
@@ -16,6 +17,12 @@
 constexpr milliseconds kReportInterval{300};
 /// Time until the balancers' lists show that an upstream closed or opened.
 constexpr milliseconds kGossipDelay{50};
+/// Time until an upstream fails a request, the limit of a request without
+/// response, and the size of an error.
+constexpr milliseconds kFailureTime{3};
+constexpr milliseconds kTimeLimit{1500};
+constexpr std::uint64_t kErrorBytes = 120;
+constexpr milliseconds kTick{20};
 /// Attempts of a caller, and the time that a request without answer counts as.
 constexpr int kAttempts = 3;
 constexpr double kUnansweredSeconds = 4;
@@ -24,7 +31,8 @@
 constexpr int kAnswerPercent = 90;
 
 bool IsLibrary(Policy policy) {
-  return policy == Policy::kAnyDataCenter || policy == Policy::kPlacement;
+  return policy == Policy::kAnyDataCenter || policy == Policy::kPlacement ||
+         policy == Policy::kOutliers;
 }
 
 Duration ToDuration(std::chrono::duration<double> time) {
@@ -49,6 +57,8 @@
       return "any data centre";
     case Policy::kPlacement:
       return "placement";
+    case Policy::kOutliers:
+      return "outliers";
   }
   return "";
 }
@@ -69,6 +79,10 @@
       << result.InTarget() << ", local " << result.Local() << ", refused "
       << result.refused << " of " << result.requests << ", busiest "
       << result.BusiestOverMean() << " of mean";
+  if (result.errors > 0) {
+    out << ", errors " << result.errors << ", trials " << result.trials
+        << ", last resorts " << result.last_resorts;
+  }
   if (result.requests_of.size() > 1) {
     out << ", in target by data centre";
     for (std::size_t i = 0; i < result.requests_of.size(); ++i) {
@@ -96,9 +110,11 @@
     auto& edge = edges_.emplace_back();
     edge.data_center = i % plan.data_centers;
     edge.states = std::make_unique<SidecarStateTable>();
-    const bool known = policy == Policy::kPlacement;
+    const bool known = policy != Policy::kAnyDataCenter;
+    edge.outliers = std::make_unique<outlier::OutlierDetector>();
     edge.selector = std::make_unique<CandidateSelector>(
-        *edge.states, known ? kFirstDataCenter + edge.data_center : 0);
+        *edge.states, known ? kFirstDataCenter + edge.data_center : 0,
+        policy == Policy::kOutliers ? edge.outliers.get() : nullptr);
     edge.reported.assign(servers_.size(), 0);
   }
   UpdateMembers();
@@ -137,7 +153,15 @@
 
 double LoadReplay::FactorOf(const PlannedUpstream& plan) const {
   const bool changed = now_ - start_ >= plan.changes_at;
-  return plan.factor * (changed ? plan.later_change : 1);
+  return plan.factor * (changed ? plan.later_change : 1) * FaultOf(plan).factor;
+}
+
+PlannedFault LoadReplay::FaultOf(const PlannedUpstream& plan) const {
+  for (const auto& fault : plan.faults) {
+    const auto at = now_ - start_;
+    if (at >= fault.from && at < fault.until) return fault;
+  }
+  return {};
 }
 
 bool LoadReplay::IsClosed(const Server& server) const {
@@ -171,6 +195,7 @@
     }
   }
   if (policy_ == Policy::kLeastReported) SendReports();
+  if (policy_ == Policy::kOutliers) TickOutliers();
   while (!events_.empty()) {
     auto event = events_.top();
     events_.pop();
@@ -205,15 +230,20 @@
   }
   SegmentFrame frame;
   frame.service = kService;
-  edge.selector->ListForNewFlow(attempt.hash, plan_->target, now_, frame);
-  const auto passed =
-      std::chrono::duration_cast<milliseconds>(now_ - attempt.started);
-  frame.time_left =
-      std::max(plan_->target * kAnswerPercent / 100 - passed, milliseconds(0));
+  result_.trials +=
+      edge.selector->ListForNewFlow(attempt.hash, plan_->target, now_, frame);
+  frame.time_left = TimeLeft(attempt);
   edge.states->Reserve(frame.hops[0], now_);
   Visit(attempt, frame);
 }
 
+milliseconds LoadReplay::TimeLeft(const Attempt& attempt) const {
+  const auto passed =
+      std::chrono::duration_cast<milliseconds>(now_ - attempt.started);
+  return std::max(plan_->target * kAnswerPercent / 100 - passed,
+                  milliseconds(0));
+}
+
 int LoadReplay::Choose(Edge& edge, const Attempt& attempt) {
   const auto count = servers_.size();
   std::uniform_int_distribution<std::size_t> any(0, count - 1);
@@ -376,6 +406,8 @@
     ack.expected_wait_us = 0;
     ack.free_slots = UINT16_MAX;
   }
+  ack.responses = ReportOf(upstream, AddressOf(*attempt.flow));
+  ack.flow.service = AddressOf(*attempt.flow);
   std::bernoulli_distribution is_lost(faults_.lost_acks);
   if (is_lost(random_)) return;
   const auto delay =
@@ -385,13 +417,76 @@
     auto& states = *edges_[edge].states;
     states.OnAck(kFirstSidecar + static_cast<InstanceAddress>(upstream), ack,
                  now_);
+    OnReport(edge, upstream, ack);
     if (next != 0) states.Reserve(next, now_);
   });
 }
 
+outlier::ResponseReport LoadReplay::ReportOf(int upstream,
+                                             const Endpoint& address) {
+  auto report = servers_[upstream].responses.Report(address, now_);
+  if (upstream == faults_.nonsense_responses) {
+    std::uniform_int_distribution<int> any(0, 255);
+    report.failure_share = any(random_) / 10.0;
+    report.response_time = seconds(any(random_));
+    report.good_run = static_cast<std::uint8_t>(any(random_));
+    report.failures = static_cast<std::uint8_t>(any(random_));
+  }
+  return report;
+}
+
+void LoadReplay::OnReport(std::size_t edge, int upstream, const Ack& ack) {
+  Bytes wire;
+  AppendAck(ack, wire);
+  const auto read = DecodeAck(wire);
+  edges_[edge].outliers->OnReport(
+      outlier::MemberId{kFirstSidecar + static_cast<InstanceAddress>(upstream)},
+      read->flow.service, *read->responses, now_);
+}
+
+void LoadReplay::TickOutliers() {
+  for (std::size_t i = 0; i < edges_.size(); ++i) {
+    auto& outliers = *edges_[i].outliers;
+    outliers.ExpireReports(now_);
+    for (const auto member : outliers.TakeReportRequests(2, now_)) {
+      const auto upstream =
+          static_cast<int>(member) - static_cast<int>(kFirstSidecar);
+      After(2 * Delay(0, 0), [this, i, upstream] {
+        Ack ack;
+        ack.responses = ReportOf(upstream, {});
+        OnReport(i, upstream, ack);
+      });
+    }
+    for (const auto& change : outliers.TakeChanges()) {
+      result_.outlier_events.push_back(
+          {now_ - start_,
+           static_cast<int>(change.member) - static_cast<int>(kFirstSidecar),
+           change.begins});
+    }
+  }
+  const bool more = now_ - start_ < plan_->flows.back().opens_at;
+  if (more) After(kTick, [this] { TickOutliers(); });
+}
+
 void LoadReplay::Refuse(Attempt attempt) {
+  SegmentFrame frame;
+  frame.service = kService;
+  auto& edge = edges_[attempt.edge];
+  if (policy_ == Policy::kOutliers && !attempt.offered_to_outliers &&
+      edge.selector->ListOutliers(attempt.hash, now_, frame)) {
+    attempt.offered_to_outliers = true;
+    frame.time_left = TimeLeft(attempt);
+    ++result_.last_resorts;
+    After(2 * Delay(0, 0), [this, attempt, frame] { Visit(attempt, frame); });
+    return;
+  }
+  Retry(attempt);
+}
+
+void LoadReplay::Retry(Attempt attempt) {
   if (attempt.number < kAttempts) {
     ++attempt.number;
+    attempt.offered_to_outliers = false;
     attempt.hash = attempt.hash * 0x9E3779B97F4A7C15 + 1;
     After(milliseconds(2), [this, attempt] { Open(attempt); });
     return;
@@ -413,7 +508,7 @@
   for (std::size_t i = 0; i < attempt.flow->requests.size(); ++i) {
     const auto after = attempt.flow->requests[i].after_open;
     Request request{
-        attempt.flow, i, i == 0 ? attempt.started : now_ + after, {}};
+        attempt.flow, i, i == 0 ? attempt.started : now_ + after, {}, attempt};
     After(arrival + after,
           [this, upstream, request] { Arrive(upstream, request); });
   }
@@ -443,14 +538,20 @@
   auto& server = servers_[upstream];
   ++server.busy;
   const auto cost = request.flow->requests[request.index].cost;
-  After(ToDuration(cost * FactorOf(server.plan)), [this, upstream, request] {
+  const auto fault = FaultOf(server.plan);
+  const bool fails =
+      fault.share > 0 && std::bernoulli_distribution(fault.share)(random_);
+  const Duration time =
+      fails ? kFailureTime : ToDuration(cost * FactorOf(server.plan));
+  After(time, [this, upstream, request, fails, failure = fault.failure] {
     auto& done = servers_[upstream];
-    done.load->OnResponse(request.start, now_);
-    if (request.index + 1 == request.flow->requests.size()) {
-      done.load->OnFlowEnded(request.start, now_);
+    if (fails) {
+      Fail(upstream, request, failure);
+    } else {
+      Answer(upstream, request);
     }
     --done.busy;
-    Finish(upstream, request, true);
+    if (!fails) Finish(upstream, request, true);
     if (done.queue.empty()) return;
     const auto next = done.queue.front();
     done.queue.pop_front();
@@ -458,6 +559,46 @@
   });
 }
 
+void LoadReplay::Answer(int upstream, const Request& request) {
+  auto& done = servers_[upstream];
+  const auto address = AddressOf(*request.flow);
+  if (const auto time = done.load->TimeInSlot(request.start, now_)) {
+    done.responses.OnFirstByte(address, *time, now_);
+  }
+  std::uniform_int_distribution<std::uint64_t> size(400, 900);
+  if (policy_ == Policy::kOutliers) {
+    done.responses.OnAnswered(address, size(random_), true, now_);
+  }
+  done.load->OnResponse(request.start, now_);
+  if (request.index + 1 == request.flow->requests.size()) {
+    done.load->OnFlowEnded(request.start, now_);
+  }
+}
+
+void LoadReplay::Fail(int upstream, const Request& request, Failure failure) {
+  auto& server = servers_[upstream];
+  const auto address = AddressOf(*request.flow);
+  if (failure == Failure::kSmallResponse) {
+    if (const auto time = server.load->TimeInSlot(request.start, now_)) {
+      server.responses.OnFirstByte(address, *time, now_);
+    }
+    server.responses.OnAnswered(address, kErrorBytes, true, now_);
+    server.load->OnResponse(request.start, now_);
+  }
+  const Duration until_seen =
+      failure == Failure::kNoResponse ? Duration(kTimeLimit) : Duration{};
+  After(until_seen, [this, upstream, request, failure, address] {
+    auto& failed = servers_[upstream];
+    if (failure != Failure::kSmallResponse) {
+      failed.responses.OnFailed(address, now_);
+      failed.load->OnRequestAborted(request.start, now_);
+    }
+    const bool measured = request.flow->opens_at >= plan_->measured_from;
+    result_.errors += measured;
+    Retry(request.attempt);
+  });
+}
+
 void LoadReplay::Finish(int upstream, const Request& request, bool answered) {
   const auto& flow = *request.flow;
   const auto at = flow.opens_at + flow.requests[request.index].after_open;
--- a/tests/segment/load_replay.h
+++ b/tests/segment/load_replay.h
@@ -25,7 +25,8 @@
   kPowerOfTwo,     ///< The emptier one of two at random, known without delay.
   kOracle,         ///< Earliest answer, from all costs and speeds.
   kAnyDataCenter,  ///< This library, without knowledge of data centres.
-  kPlacement,      ///< This library.
+  kPlacement,      ///< This library, without a comparison of responses.
+  kOutliers,       ///< This library.
 };
 
 const char* ToString(Policy policy);
@@ -44,6 +45,16 @@
   std::vector<std::vector<int>> local_by_window;
   std::vector<std::vector<int>> other_by_window;
   std::vector<int> served_by;  ///< By upstream.
+  int errors = 0;              ///< Attempts that failed at an upstream.
+  int last_resorts = 0;        ///< New connections offered to outliers last.
+  int trials = 0;              ///< New connections to see if one has recovered.
+  /// An upstream became an outlier at some balancer, or is none any more.
+  struct OutlierEvent {
+    Duration at{};
+    int upstream = 0;
+    bool begins = false;
+  };
+  std::vector<OutlierEvent> outlier_events;
 
   double P99() const;
   double InTarget() const { return Share(in_target, requests); }
@@ -67,6 +78,8 @@
   double lost_acks = 0;
   /// Time by which acknowledgements are late.
   std::chrono::milliseconds ack_delay{0};
+  /// Upstream whose reports of responses are nonsense, -1 for none.
+  int nonsense_responses = -1;
   /// Upstream whose reports have implausible values, -1 for none.
   int implausible = -1;
   /// Members from this index on are of the previous build, whose entries have
@@ -87,18 +100,29 @@
   ReplayResult Run();
 
  private:
+  /// One attempt of a caller to open a connection.
+  struct Attempt {
+    const PlannedFlow* flow = nullptr;
+    std::uint64_t hash = 0;
+    int number = 0;
+    std::size_t edge = 0;
+    TimePoint started{};  ///< Of the first attempt.
+    bool offered_to_outliers = false;
+  };
   /// A request at an upstream.
   struct Request {
     const PlannedFlow* flow = nullptr;
     std::size_t index = 0;
     TimePoint sent{};
     RequestStart start;
+    Attempt attempt;
   };
   struct Server {
     PlannedUpstream plan;
     std::uint32_t busy = 0;
     std::deque<Request> queue;
     std::unique_ptr<LoadEstimator> load;
+    outlier::ResponseStatistics responses;
     /// Of the oracle: when each slot is free, given all costs.
     std::vector<TimePoint> slots_free_at;
     /// Of the oracle: requests that the open long-lived flows will send.
@@ -108,6 +132,7 @@
     int data_center = 0;
     std::unique_ptr<SidecarStateTable> states;
     std::unique_ptr<CandidateSelector> selector;
+    std::unique_ptr<outlier::OutlierDetector> outliers;
     std::size_t turn = 0;
     std::vector<std::uint32_t> reported;  ///< By upstream.
   };
@@ -119,21 +144,14 @@
       return std::tie(time, order) > std::tie(other.time, other.order);
     }
   };
-  /// One attempt of a caller to open a connection.
-  struct Attempt {
-    const PlannedFlow* flow = nullptr;
-    std::uint64_t hash = 0;
-    int number = 0;
-    std::size_t edge = 0;
-    TimePoint started{};  ///< Of the first attempt.
-  };
-
   static constexpr InstanceAddress kFirstSidecar = 2000;
 
   void UpdateMembers();
   void After(Duration delay, std::function<void()> run);
   Duration Delay(int from_center, int to_center) const;
   void Open(Attempt attempt);
+  /// @return the time in which the upstream has to answer.
+  std::chrono::milliseconds TimeLeft(const Attempt& attempt) const;
   int Choose(Edge& edge, const Attempt& attempt);
   int ChooseLeastReported(const Edge& edge);
   int ChooseEarliest(const Attempt& attempt);
@@ -141,10 +159,20 @@
   void Visit(const Attempt& attempt, SegmentFrame frame);
   void Forward(const Attempt& attempt, SegmentFrame frame);
   void Acknowledge(const Attempt& attempt, int upstream, InstanceAddress next);
+  /// No candidate has accepted the connection.
   void Refuse(Attempt attempt);
+  void Retry(Attempt attempt);
   void Accept(const Attempt& attempt, int upstream);
   void Arrive(int upstream, Request request);
   void Serve(int upstream, const Request& request);
+  void Answer(int upstream, const Request& request);
+  /// The upstream fails a request in some way after a short time.
+  void Fail(int upstream, const Request& request, Failure failure);
+  /// @return the fault of an upstream now, one without effect if none.
+  PlannedFault FaultOf(const PlannedUpstream& plan) const;
+  outlier::ResponseReport ReportOf(int upstream, const Endpoint& address);
+  void OnReport(std::size_t edge, int upstream, const Ack& ack);
+  void TickOutliers();
   void Finish(int upstream, const Request& request, bool answered);
   double FactorOf(const PlannedUpstream& plan) const;
   bool IsClosed(const Server& server) const;
