--- a/packages/outlier/include/cowslip/outlier/response_report.h
+++ b/packages/outlier/include/cowslip/outlier/response_report.h
@@ -14,9 +14,9 @@
 
   /// Share of failed requests of one service address; std::nullopt if too few
   /// are known.
-  std::optional<double> failure_share;
+  std::optional<double> failure_share{};
   /// Typical time to the first byte of a response of that address.
-  std::optional<Duration> response_time;
+  std::optional<Duration> response_time{};
   /// Requests of all addresses that were answered since the last failure.
   std::uint8_t good_run = 0;
   /// Failed requests of all addresses, modulo 256.
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -113,6 +113,7 @@
   const UpstreamStateTracker& gate() const { return upstream_state_; }
   const SidecarStats& stats() const { return stats_; }
   const LoadEstimator& load() const { return requests_.load(); }
+  const ResponseMonitor& responses() const { return requests_.responses(); }
   /// @return requests that wait for a slot of the upstream.
   std::size_t requests_waiting() const { return requests_.waiting(); }
   /// @return whether a request is in progress or waits.
