--- a/packages/segment/include/cowslip/segment/balancer_stats.h
+++ b/packages/segment/include/cowslip/segment/balancer_stats.h
@@ -51,6 +51,8 @@
   /// New connections offered first to a member that fails or is slow beside its
   /// peers, to see whether it has recovered.
   std::uint64_t outlier_trials = 0;
+  /// SYNs that no other member has accepted, offered to such members.
+  std::uint64_t offered_to_outliers = 0;
   PlacementCounts placements;  ///< SYNs accepted by a sidecar.
   /// From the arrival of a packet whose sidecar is not known until a sidecar
   /// has accepted it.
--- a/packages/segment/src/balancer_outliers.cc
+++ b/packages/segment/src/balancer_outliers.cc
@@ -23,6 +23,7 @@
   if (!members_.ListOutliers(HashFlow(syn.segment.flow), now, candidates)) {
     return false;
   }
+  ++stats_.offered_to_outliers;
   syn.offered_to_outliers = true;
   syn.others_overloaded = ack.overloaded;
   syn.others_evacuated = ack.evacuated;
--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -8,6 +8,7 @@
 #include "platform/document_fetch.h"
 #include "platform/heartbeat.h"
 #include "platform/metrics_text.h"
+#include "platform/outlier_metrics.h"
 #include "platform/packet_header.h"
 #include "platform/route_document.h"
 #include "platform/settings.h"
@@ -311,4 +312,35 @@
              1);
 }
 
+// Guards against metrics of members that grow with the fleet, and against a
+// family that appears twice.
+BOOST_AUTO_TEST_CASE(MetricsOfMembersAreLimited) {
+  outlier::OutlierDetector outliers;
+  std::vector<outlier::MemberId> members;
+  const TimePoint now{std::chrono::seconds(100)};
+  for (std::uint32_t i = 0; i < 200; ++i) {
+    members.push_back(outlier::MemberId{0x0A000000 + i});
+    outlier::ResponseReport report;
+    report.failure_share = i == 150 ? 0.5 : 0.0;
+    report.response_time = std::chrono::milliseconds(40);
+    outliers.OnReport(members.back(), {1, 443}, report, now);
+  }
+  outliers.Evaluate(members, now);
+  outliers.Evaluate(members, now + std::chrono::milliseconds(200));
+  const auto text = FormatOutlierMetrics(outliers, {});
+  const auto count = [&](const std::string& part) {
+    int found = 0;
+    for (auto at = text.find(part); at != std::string::npos;
+         at = text.find(part, at + 1)) {
+      ++found;
+    }
+    return found;
+  };
+  BOOST_TEST(count("\ncowslip_outliers 1") == 1);
+  BOOST_TEST(count("# TYPE cowslip_upstream_failure_share") == 1);
+  BOOST_TEST(count("cowslip_upstream_failure_share{") == 64);
+  BOOST_TEST(count("cowslip_upstream_relative_speed{") == 64);
+  BOOST_TEST(count("failure_share{member=\"10.0.0.150\"} 0.5") == 1);
+}
+
 }  // namespace cowslip::platform_adapter
