--- a/tests/segment/fake_upstream.cc
+++ b/tests/segment/fake_upstream.cc
@@ -4,6 +4,7 @@
 namespace {
 
 constexpr std::uint16_t kResponseLength = 600;
+constexpr std::uint16_t kErrorLength = 60;
 constexpr std::uint32_t kSeqStep = 10'000'000;
 constexpr std::uint32_t kFirstAckWindow = 1U << 20;
 
@@ -102,14 +103,31 @@
   const auto found = flows_.find(key);
   if (found == flows_.end()) return;
   auto& flow = found->second;
+  failed_percent_ += failures_.percent;
+  const bool fails = failed_percent_ >= 100;
+  if (fails) failed_percent_ -= 100;
+  if (fails && failures_.resets) {
+    SendReset(key);
+    return;
+  }
   Segment response;
   response.flow = key;
   response.ack_flag = true;
   response.seq = flow.seq;
-  response.length = kResponseLength;
+  response.length = fails ? kErrorLength : kResponseLength;
   response.ack = flow.caller_next;
-  flow.seq += kResponseLength;
+  flow.seq += response.length;
   output_.send(response);
 }
 
+void FakeUpstream::SendReset(const FlowKey& key) {
+  const auto found = flows_.find(key);
+  Segment reset;
+  reset.flow = key;
+  reset.rst = true;
+  reset.seq = found->second.seq;
+  flows_.erase(found);
+  output_.send(reset);
+}
+
 }  // namespace cowslip::segment::test
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -28,6 +28,11 @@
     /// SYN.
     std::uint32_t first_seq = 1000;
   };
+  /// Requests that it fails although it reports no fault.
+  struct Failures {
+    int percent = 0;
+    bool resets = false;  ///< Otherwise it sends a small response.
+  };
   /// Callbacks into the simulation: network and timers.
   struct Output {
     std::function<void(const Segment&)> send;
@@ -53,6 +58,8 @@
   void Crash();
   void Restart();
 
+  void SetFailures(const Failures& failures) { failures_ = failures; }
+
   bool alive() const { return alive_; }
   /// @return whether the handshake of the flow is complete.
   bool Holds(const FlowKey& flow) const {
@@ -79,8 +86,11 @@
   void Enqueue(const FlowKey& flow);
   void StartRequest(const FlowKey& flow);
   void SendResponse(const FlowKey& flow);
+  void SendReset(const FlowKey& flow);
 
   Options options_;
+  Failures failures_;
+  int failed_percent_ = 0;  ///< Sum of Failures::percent, modulo 100.
   Output output_;
   bool alive_ = true;
   int start_ = 1;
