Scheduling: limit of requests for an upstream that warms up

Cause: warmupPerS has no effect; a cold upstream is given as many requests as it has slots.

WarmUpLimiter keeps the time of each request of the last second, so that no sliding second has more than the limit, both ends included. It assumes that an earlier process of the sidecar has used the whole limit at the start of this one, keeps what a new process of the upstream was given before its first report, and counts suspensions. RequestScheduler gives a request only if it is permitted, and forecasts with the moments at which further ones are.

--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -11,6 +11,7 @@
 #include "cowslip/scheduling/queued_request.h"
 #include "cowslip/scheduling/request_order.h"
 #include "cowslip/scheduling/slot_table.h"
+#include "cowslip/scheduling/warm_up_limiter.h"
 
 namespace cowslip::scheduling {
 
@@ -19,7 +20,8 @@
   FlowKey flow;
   RequestTerms terms;
   Duration waited{};
-  std::vector<Bytes> packets;  ///< In the order of their data.
+  bool waited_for_limit = false;  ///< Of an upstream that warms up.
+  std::vector<Bytes> packets;     ///< In the order of their data.
 };
 
 /// A request that ended while it waited.
@@ -27,7 +29,8 @@
   FlowKey flow;
   RequestTerms terms;
   Duration waited{};
-  std::uint32_t end_seq = 0;  ///< After its last data.
+  bool waited_for_limit = false;  ///< Of an upstream that warms up.
+  std::uint32_t end_seq = 0;      ///< After its last data.
 };
 
 /// What becomes of a packet of a request.
@@ -36,12 +39,14 @@
   kHeld,       ///< Waits for a slot.
   kDuplicate,  ///< Is held already and can be dropped.
   /// Does not fit into the memory limits: the request gets a slot now, see
-  /// RequestScheduler::TakeNow().
+  /// RequestScheduler::TakeNow(). If the limit of an upstream that warms up
+  /// does not permit it, the packet can only be dropped; its caller repeats it.
   kNoMemory,
 };
 
 /// Holds requests beside their upstream and gives it as many as it has slots,
-/// and one more, in the order of RequestOrder.
+/// and one more, in the order of RequestOrder; while it warms up, not more than
+/// its limit permits.
 ///
 /// Load pattern: more requests than the slots can serve in time. In the queue
 /// of the upstream, which serves them as they come, an urgent request waits for
@@ -62,6 +67,8 @@
 
   void SetSlots(std::uint32_t slots) { slots_.SetSlots(slots); }
   const SlotTable& slots() const { return slots_; }
+  WarmUpLimiter& warm_up() { return warm_up_; }
+  const WarmUpLimiter& warm_up() const { return warm_up_; }
 
   /// A SYN was accepted, so the first request of its flow is due. Takes part in
   /// forecasts only. Ignored beyond kMaxRequests.
@@ -81,12 +88,14 @@
   /// The upstream is given a request without waiting.
   void Start(const FlowKey& flow, const RequestTerms& terms, TimePoint now);
   /// Gives a waiting request a slot, whether one is free or not.
-  /// @return std::nullopt if the flow has no waiting request.
+  /// @return std::nullopt if the flow has no waiting request, or if the limit
+  /// of an upstream that warms up does not permit it.
   std::optional<ReadyRequest> TakeNow(const FlowKey& flow, TimePoint now);
   /// Gives a free slot to the request that is first in the order. Requests that
   /// can no longer be answered before their time limits get none, see
   /// DropUnanswerable().
-  /// @return std::nullopt if there is no slot or no such request.
+  /// @return std::nullopt if there is no slot, no such request, or if the limit
+  /// of an upstream that warms up does not permit it.
   std::optional<ReadyRequest> TakeNext(TimePoint now, Duration service_time);
 
   /// Frees the slot of a flow. @return whether it had one.
@@ -109,7 +118,16 @@
   AnswerForecast Forecast(const RequestTerms& terms, TimePoint since,
                           TimePoint now, Duration service_time) const;
   /// @return how many further requests would be answered within a time.
-  std::uint32_t CapacityWithin(Duration time, Duration service_time) const;
+  std::uint32_t CapacityWithin(Duration time, Duration service_time,
+                               TimePoint now) const;
+  /// @return the time until a further request is permitted once those that wait
+  /// or are announced have been given; 0 if the upstream has no limit now.
+  Duration LimitWait(TimePoint now) const {
+    return warm_up_.Wait(now, queue_.size());
+  }
+  /// @return when a request can be taken that waits only for the limit of an
+  /// upstream that warms up; std::nullopt if there is none.
+  std::optional<TimePoint> NextPermitted(TimePoint now) const;
   /// @return the time in which the last of a number of requests is answered.
   /// Slots may become free all at once, so the last requests of the queue wait
   /// for whole rounds.
@@ -130,12 +148,26 @@
   static std::size_t SizeOf(const QueuedRequest& request) {
     return kRequestOverhead + request.packets.bytes();
   }
-  static DroppedRequest ToDropped(const QueuedRequest& request, TimePoint now);
+  DroppedRequest ToDropped(const QueuedRequest& request, TimePoint now) const;
   Queue::iterator Erase(Queue::iterator entry);
   Queue::iterator FindNext(const RequestOrder& order);
   ReadyRequest Take(Queue::iterator entry, TimePoint now);
+  /// @return whether the limit permits a request; if not, notes that it keeps a
+  /// slot from being used.
+  bool CheckLimit(TimePoint now);
+  bool WaitedForLimit(const QueuedRequest& request) const {
+    return limited_at_ && request.arrival <= *limited_at_;
+  }
+  /// @return the time in which a request is answered that comes behind others.
+  /// @param ahead requests in progress and waiting ahead of it.
+  /// @param waiting those of them that wait.
+  Duration AnswerTimeBehind(std::size_t ahead, std::size_t waiting,
+                            TimePoint now, Duration service_time) const;
 
   SlotTable slots_;
+  WarmUpLimiter warm_up_;
+  /// When the limit last kept a slot from being used.
+  std::optional<TimePoint> limited_at_;
   Queue queue_;
   std::size_t announced_ = 0;
   std::size_t bytes_ = 0;
--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -45,7 +45,8 @@
                                        TimePoint now) {
   if (IsWaiting(flow)) return Hold(flow, packet);
   Withdraw(flow);
-  if (slots_.HasRoom() && waiting() == 0) {
+  const bool has_room = slots_.HasRoom();
+  if (has_room && waiting() == 0 && CheckLimit(now)) {
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -58,6 +59,7 @@
   const auto size = SizeOf(request);
   if (request.packets.bytes() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
       queue_.size() >= kMaxRequests) {
+    if (!warm_up_.Permits(now)) return PacketOutcome::kNoMemory;
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -84,21 +86,28 @@
 void RequestScheduler::Start(const FlowKey& flow, const RequestTerms& terms,
                              TimePoint now) {
   slots_.Take(flow, terms, now);
+  warm_up_.OnGiven(now);
+}
+
+bool RequestScheduler::CheckLimit(TimePoint now) {
+  if (warm_up_.Permits(now)) return true;
+  limited_at_ = now;
+  return false;
 }
 
 ReadyRequest RequestScheduler::Take(Queue::iterator entry, TimePoint now) {
   auto& request = entry->second;
   bytes_ -= SizeOf(request);
   ReadyRequest ready{request.flow, request.terms, now - request.arrival,
-                     request.packets.Take()};
+                     WaitedForLimit(request), request.packets.Take()};
   queue_.erase(entry);
-  slots_.Take(ready.flow, ready.terms, now);
+  Start(ready.flow, ready.terms, now);
   return ready;
 }
 
 std::optional<ReadyRequest> RequestScheduler::TakeNow(const FlowKey& flow,
                                                       TimePoint now) {
-  if (!IsWaiting(flow)) return std::nullopt;
+  if (!IsWaiting(flow) || !CheckLimit(now)) return std::nullopt;
   return Take(queue_.find(flow), now);
 }
 
@@ -129,16 +138,18 @@
 
 std::optional<ReadyRequest> RequestScheduler::TakeNext(TimePoint now,
                                                        Duration service_time) {
-  if (!slots_.HasRoom() || waiting() == 0) return std::nullopt;
+  if (!slots_.HasRoom() || waiting() == 0 || !CheckLimit(now)) {
+    return std::nullopt;
+  }
   const auto next = FindNext(RequestOrder(now, service_time));
   if (next == queue_.end()) return std::nullopt;
   return Take(next, now);
 }
 
 DroppedRequest RequestScheduler::ToDropped(const QueuedRequest& request,
-                                           TimePoint now) {
+                                           TimePoint now) const {
   return {request.flow, request.terms, now - request.arrival,
-          request.packets.end_seq()};
+          WaitedForLimit(request), request.packets.end_seq()};
 }
 
 std::optional<DroppedRequest> RequestScheduler::Remove(const FlowKey& flow,
@@ -196,17 +207,20 @@
                                 .arrival = now,
                                 .packets = {}};
   std::size_t ahead = slots_.taken();
+  std::size_t waiting_ahead = 0;
   std::vector<const QueuedRequest*> behind;
   const bool checks_displaced = queue_.size() <= kMaxForecastDepth;
   for (const auto& [flow, request] : queue_) {
     if (!order.Precedes(candidate, request)) {
       ++ahead;
+      ++waiting_ahead;
     } else if (checks_displaced) {
       behind.push_back(&request);
     }
   }
   AnswerForecast forecast;
-  forecast.answer_time = AnswerTimeOf(ahead + 1, service_time);
+  forecast.answer_time =
+      AnswerTimeBehind(ahead, waiting_ahead, now, service_time);
   const auto answer_at = now + forecast.answer_time;
   forecast.in_time = answer_at <= candidate.target_at();
   forecast.before_limit = answer_at <= since + terms.limit();
@@ -217,12 +231,15 @@
   bool displaces_more_urgent = false;
   bool displaces_other = false;
   for (const auto* request : behind) {
-    const auto before = now + AnswerTimeOf(ahead + 1, service_time);
-    const auto after = now + AnswerTimeOf(ahead + 2, service_time);
+    const auto before =
+        now + AnswerTimeBehind(ahead, waiting_ahead, now, service_time);
+    const auto after =
+        now + AnswerTimeBehind(ahead + 1, waiting_ahead + 1, now, service_time);
     const auto limit = request->since + request->terms.limit();
     // Will be dropped in any case, so it takes no slot.
     if (before > limit) continue;
     ++ahead;
+    ++waiting_ahead;
     const bool becomes_late =
         before <= request->target_at() && after > request->target_at();
     forecast.makes_late |= becomes_late;
@@ -236,13 +253,41 @@
 }
 
 std::uint32_t RequestScheduler::CapacityWithin(Duration time,
-                                               Duration service_time) const {
+                                               Duration service_time,
+                                               TimePoint now) const {
   const auto rounds = service_time > Duration::zero() ? time / service_time : 0;
   const auto possible = static_cast<std::uint64_t>(rounds) * slots_.slots();
   const auto present = slots_.taken() + queue_.size();
   if (possible <= present) return 0;
-  return static_cast<std::uint32_t>(
-      std::min<std::uint64_t>(possible - present, UINT32_MAX));
+  const auto by_slots = std::min<std::uint64_t>(possible - present, UINT32_MAX);
+  if (!warm_up_.IsLimiting(now)) return static_cast<std::uint32_t>(by_slots);
+  // The wait grows with the number of requests.
+  std::uint64_t low = 0;
+  std::uint64_t high = std::min<std::uint64_t>(by_slots, kMaxRequests);
+  while (low < high) {
+    const auto middle = low + (high - low) / 2;
+    const auto wait = warm_up_.Wait(now, queue_.size() + middle);
+    if (wait + service_time <= time) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return static_cast<std::uint32_t>(low);
+}
+
+Duration RequestScheduler::AnswerTimeBehind(std::size_t ahead,
+                                            std::size_t waiting, TimePoint now,
+                                            Duration service_time) const {
+  return std::max(AnswerTimeOf(ahead + 1, service_time),
+                  warm_up_.Wait(now, waiting) + service_time);
+}
+
+std::optional<TimePoint> RequestScheduler::NextPermitted(TimePoint now) const {
+  if (waiting() == 0 || !slots_.HasRoom()) return std::nullopt;
+  const auto wait = warm_up_.Wait(now);
+  if (wait == Duration::zero()) return std::nullopt;
+  return now + wait;
 }
 
 }  // namespace cowslip::scheduling
--- /dev/null
+++ b/packages/scheduling/src/warm_up_limiter.cc
@@ -0,0 +1,53 @@
+#include "cowslip/scheduling/warm_up_limiter.h"
+
+#include <algorithm>
+
+namespace cowslip::scheduling {
+
+void WarmUpLimiter::OnProcessStarted(TimePoint now,
+                                     std::chrono::milliseconds time_of_day) {
+  process_started_ = now;
+  process_started_of_day_ = time_of_day;
+  window_.AssumeUsed(now);
+}
+
+void WarmUpLimiter::OnLimit(std::uint64_t config, RequestRate limit) {
+  if (config < config_) return;
+  config_ = config;
+  limit_ = limit;
+  window_.SetLimit(limit.WholePerSecond());
+}
+
+void WarmUpLimiter::OnReport(const Report& report, TimePoint now) {
+  const bool is_first = !cold_until_.has_value();
+  cold_until_ = Counted(now) + report.warm_up_left;
+  if (!is_first && !report.restarted) return;
+  const bool knows_start = report.started_at.count() > 0;
+  if (!knows_start && !report.restarted) return;
+  // Requests that it was given before this report count if it had started. The
+  // clock may have been set; no process starts after its report.
+  auto started = Counted(now);
+  if (knows_start) {
+    started = std::min(started, process_started_ + (report.started_at -
+                                                    process_started_of_day_));
+  }
+  window_.ForgetBefore(started);
+  if (report.restarted || started >= process_started_ - kMinRestartDelay) {
+    window_.ForgetAssumption();
+  }
+}
+
+Duration WarmUpLimiter::Wait(TimePoint now, std::size_t ahead) const {
+  if (!IsLimiting(now)) return Duration::zero();
+  const auto counted = Counted(now);
+  auto permitted_at = window_.PermittedAt(counted, ahead);
+  if (cold_until_) permitted_at = std::min(permitted_at, *cold_until_);
+  return permitted_at - counted;
+}
+
+Duration WarmUpLimiter::WarmUpLeft(TimePoint now) const {
+  if (!cold_until_) return Duration::zero();
+  return std::max(*cold_until_ - Counted(now), Duration::zero());
+}
+
+}  // namespace cowslip::scheduling
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -352,14 +352,14 @@
 
 BOOST_AUTO_TEST_CASE(CapacityIsWhatTimeLimitsAllow) {
   Fixture fixture(2);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService) ==
-             10U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService,
+                                              kStart) == 10U);
   fixture.Fill(kStart);
   fixture.Submit(1, kOther, kStart);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService) ==
-             6U);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(39), kService) ==
-             0U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService,
+                                              kStart) == 6U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(39), kService,
+                                              kStart) == 0U);
 }
 
 }  // namespace cowslip::scheduling
