Segment: limit of upstreams that warm up, from the frames to the upstream

Cause: the sidecar gives requests to its upstream, but only balancers know the configuration.

Frames carry the limit of the service in a prefix of their own (kind 7, frame version 2), also those of open flows, as a sidecar that has just started may get no others. Members of earlier builds get the earlier format. A removed limit is sent as 0 by balancers that had it. Without a limit in the configuration, frames and decisions are as before.

The dispatcher holds requests above the limit, also of routes without a class and after its memory is used up; packets of flows that a new process has not seen are given to a cold upstream only if they are permitted. Admission, the reported wait and the capacity count with the next permitted moment.

--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -120,6 +120,9 @@
   /// @return how many further requests would be answered within a time.
   std::uint32_t CapacityWithin(Duration time, Duration service_time,
                                TimePoint now) const;
+  /// @return how many further requests the limit of an upstream that warms up
+  /// permits to begin within a time; UINT32_MAX if it has none now.
+  std::uint32_t PermittedWithin(Duration time, TimePoint now) const;
   /// @return the time until a further request is permitted once those that wait
   /// or are announced have been given; 0 if the upstream has no limit now.
   Duration LimitWait(TimePoint now) const {
--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -260,20 +260,25 @@
   const auto present = slots_.taken() + queue_.size();
   if (possible <= present) return 0;
   const auto by_slots = std::min<std::uint64_t>(possible - present, UINT32_MAX);
-  if (!warm_up_.IsLimiting(now)) return static_cast<std::uint32_t>(by_slots);
+  return std::min(static_cast<std::uint32_t>(by_slots),
+                  PermittedWithin(time - service_time, now));
+}
+
+std::uint32_t RequestScheduler::PermittedWithin(Duration time,
+                                                TimePoint now) const {
+  if (!warm_up_.IsLimiting(now)) return UINT32_MAX;
   // The wait grows with the number of requests.
-  std::uint64_t low = 0;
-  std::uint64_t high = std::min<std::uint64_t>(by_slots, kMaxRequests);
+  std::uint32_t low = 0;
+  std::uint32_t high = kMaxRequests;
   while (low < high) {
     const auto middle = low + (high - low) / 2;
-    const auto wait = warm_up_.Wait(now, queue_.size() + middle);
-    if (wait + service_time <= time) {
+    if (warm_up_.Wait(now, queue_.size() + middle) <= time) {
       low = middle + 1;
     } else {
       high = middle;
     }
   }
-  return static_cast<std::uint32_t>(low);
+  return low;
 }
 
 Duration RequestScheduler::AnswerTimeBehind(std::size_t ahead,
--- a/packages/segment/include/cowslip/segment/balancer.h
+++ b/packages/segment/include/cowslip/segment/balancer.h
@@ -145,6 +145,8 @@
   /// Sends a packet and tracks it until a sidecar has accepted it.
   void SendAndTrack(PendingPacket&& pending, TimePoint now, Outbox& out);
   void SendToCandidates(PendingPacket& pending, TimePoint now, Outbox& out);
+  /// Sets the limit of upstreams that warm up, if the configuration has one.
+  void AddWarmUpLimit(const Segment& segment, SegmentFrame& frame) const;
   /// @return whether the candidate list holds a sidecar.
   bool BuildCandidates(PendingPacket& pending, TimePoint now);
   void OnForwarded(InstanceAddress sidecar, const Ack& ack, TimePoint now);
--- a/packages/segment/include/cowslip/segment/candidate_selector.h
+++ b/packages/segment/include/cowslip/segment/candidate_selector.h
@@ -40,6 +40,9 @@
   bool HasMembers() const;
   /// @return whether all members understand frames with a request class.
   bool AllReadRequestClass() const;
+  /// @return whether all candidates of a frame understand frames with a limit
+  /// of upstreams that warm up: those of a SYN are members of one service.
+  bool AllReadWarmUpLimit(ServiceTag service, bool is_syn) const;
   /// @return how often a member was removed, or moved by a change of its data
   /// centre. Positions in the ranking that were determined before mean other
   /// members afterwards.
@@ -100,7 +103,8 @@
     /// Members are known to be in the own data centre and in others.
     bool spans_data_centers = false;
     TimePoint last_join{};  ///< When a member last joined.
-    bool all_read_request_class = true;
+    /// Least Member::frame_version of its members.
+    std::uint8_t frame_version = kFrameVersion;
   };
 
   /// @return whether a connection to a ranked member stays local. A member of
--- a/packages/segment/include/cowslip/segment/frame.h
+++ b/packages/segment/include/cowslip/segment/frame.h
@@ -8,6 +8,7 @@
 #include <span>
 
 #include "cowslip/base.h"
+#include "cowslip/scheduling.h"
 #include "cowslip/segment/segment.h"
 
 namespace cowslip::segment {
@@ -22,8 +23,10 @@
 inline constexpr std::size_t kMaxHops = 12;
 
 /// Newest form of SegmentFrame that this build understands: 1 has a request
-/// class.
-inline constexpr std::uint8_t kFrameVersion = 1;
+/// class, 2 may have a limit of upstreams that warm up as well.
+inline constexpr std::uint8_t kFrameVersion = 2;
+inline constexpr std::uint8_t kRequestClassVersion = 1;
+inline constexpr std::uint8_t kWarmUpLimitVersion = 2;
 
 /// What the route of a caller's packet says of the request that it belongs to.
 struct RequestClass {
@@ -66,6 +69,9 @@
   /// Class of the request; std::nullopt if it is not known, or if some hop does
   /// not understand frames that have one.
   std::optional<RequestClass> request;
+  /// Limit of requests for upstreams of `service` that warm up; std::nullopt if
+  /// it is not known, or if some hop does not understand frames that have one.
+  std::optional<scheduling::RequestRate> warm_up_limit;
   /// Least expected wait among the visited sidecars, and the index of that hop.
   std::uint32_t best_wait_us = UINT32_MAX;
   std::uint8_t best_place = 0;
@@ -121,8 +127,16 @@
   kClassifiedSegment = 4,  ///< A segment frame with a request class.
   kOwnerQuery = 5,
   kOwnerReply = 6,
+  /// A segment frame with a limit of upstreams that warm up.
+  kLimitedSegment = 7,
 };
 
+/// @return whether a datagram of this kind is for DecodeSegmentFrame().
+constexpr bool IsSegmentFrame(std::optional<FrameKind> kind) {
+  return kind == FrameKind::kSegment || kind == FrameKind::kClassifiedSegment ||
+         kind == FrameKind::kLimitedSegment;
+}
+
 /// @return the kind of a datagram, std::nullopt if it is not one of these.
 std::optional<FrameKind> KindOf(ByteView datagram);
 
--- a/packages/segment/include/cowslip/segment/request_dispatcher.h
+++ b/packages/segment/include/cowslip/segment/request_dispatcher.h
@@ -10,6 +10,7 @@
 #include "cowslip/base.h"
 #include "cowslip/scheduling.h"
 #include "cowslip/segment/admission.h"
+#include "cowslip/segment/flow_knowledge.h"
 #include "cowslip/segment/flow_state_table.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/load_estimator.h"
@@ -26,16 +27,19 @@
 ///
 /// Load pattern: more requests than the slots can serve in time. As long as no
 /// flow with a priority or a time limit has been seen, packets pass at once and
-/// the queue of the upstream decides.
+/// the queue of the upstream decides, unless the upstream warms up and has a
+/// limit.
 class RequestDispatcher {
  public:
   /// Most further requests that are reported as capacity.
   static constexpr std::uint32_t kMaxCapacity = 64;
 
-  /// All three have to outlive the dispatcher.
+  /// The first three have to outlive the dispatcher.
   RequestDispatcher(FlowStateTable& flows, SidecarStats& stats,
-                    Observer& observer)
-      : flows_(&flows), stats_(&stats), observer_(&observer) {}
+                    Observer& observer, const ProcessStart& started)
+      : flows_(&flows), stats_(&stats), observer_(&observer) {
+    scheduler_.warm_up().OnProcessStarted(started.steady, started.time_of_day);
+  }
 
   /// What a sidecar does with a SYN, and why.
   struct SynDecision {
@@ -49,6 +53,13 @@
   /// would leave over.
   SynDecision DecideSyn(SegmentFrame& frame, const Segment& syn, TimePoint now);
 
+  /// A frame for the service of the upstream has arrived.
+  void OnFrame(const SegmentFrame& frame);
+  /// Decides whether the packet of a flow that this process has not seen may be
+  /// sent to the upstream, to find out if it owns the flow, and counts it if it
+  /// has data, as it is a request then.
+  bool ClaimQuery(const Segment& segment, TimePoint now);
+
   /// A SYN was accepted. @param entry new record of its flow.
   void OnSynAccepted(FlowEntry& entry, const SegmentFrame& frame,
                      const Segment& syn, TimePoint now);
@@ -72,17 +83,30 @@
   /// @param restarted whether it is the first one of a new process.
   void OnReport(const UpstreamReport& report, bool restarted, TimePoint now);
   void SetWarmup(bool warming_up) { load_.SetWarmup(warming_up); }
+  /// The upstream has shown that it may be a new process, before its report.
+  void OnMayHaveRestarted() { scheduler_.warm_up().OnMayHaveRestarted(); }
+  void OnStoreReturned() { scheduler_.warm_up().OnStoreReturned(); }
+  /// Sets how long the machine has been suspended since the process started.
+  void SetSuspendedTime(Duration total) {
+    scheduler_.warm_up().SetSuspendedTime(total);
+  }
 
   /// @return how many further requests would be answered before their time
   /// limit; free slots if no time limit is known.
   std::uint32_t Capacity(TimePoint now) const;
   std::chrono::microseconds ExpectedWait(TimePoint now,
-                                         const Endpoint& service) const {
-    return load_.ExpectedWait(now, service);
-  }
+                                         const Endpoint& service) const;
   const LoadEstimator& load() const { return load_; }
   /// @return requests that wait for a slot.
   std::size_t waiting() const { return scheduler_.waiting(); }
+  const scheduling::WarmUpLimiter& warm_up() const {
+    return scheduler_.warm_up();
+  }
+  /// @return when Dispatch() is due although nothing happens, std::nullopt if
+  /// no request waits only for the limit of an upstream that warms up.
+  std::optional<TimePoint> NextDispatch(TimePoint now) const {
+    return scheduler_.NextPermitted(now);
+  }
   /// @return number of restarts of the upstream that this process has seen.
   std::uint32_t upstream_restarts() const { return upstream_restarts_; }
 
@@ -93,17 +117,26 @@
     TimePoint due;  ///< When it no longer counts as load.
   };
 
-  /// @return whether requests wait here: a flow with a class may be open.
+  /// @return whether requests wait here: a flow with a class may be open, or
+  /// the upstream has a limit while it warms up. After that, those that wait
+  /// come first, at the pace of the slots.
   bool IsActive(TimePoint now) const {
-    return last_classified_ && now - *last_classified_ < kMaxFlowAge;
+    const auto& warm_up = scheduler_.warm_up();
+    return (last_classified_ && now - *last_classified_ < kMaxFlowAge) ||
+           warm_up.IsLimiting(now) ||
+           (warm_up.limit().is_limit() && scheduler_.waiting() > 0);
   }
+  /// @return the expected time to the response of a further request as far as
+  /// the limit of an upstream that warms up is the cause; 0 if it is not.
+  std::chrono::microseconds LimitedAnswerTime(TimePoint now) const;
   void NoteClass(const scheduling::RequestTerms& terms, TimePoint now);
   /// Handles a packet with data. @return whether it is sent to the upstream.
   bool PassesData(FlowEntry& entry, const SegmentFrame& frame,
                   const Segment& segment, ByteView packet, TimePoint now,
                   Outbox& out);
-  bool PassesNewRequest(FlowEntry& entry, const Segment& segment,
-                        ByteView packet, TimePoint now);
+  scheduling::PacketOutcome SubmitRequest(FlowEntry& entry,
+                                          const Segment& segment,
+                                          ByteView packet, TimePoint now);
   SynDecision DecideAlone(const SegmentFrame& frame, const Segment& syn,
                           TimePoint now) const;
   void OnStarted(const FlowKey& flow, FlowEntry* entry,
--- a/packages/segment/include/cowslip/segment/route_table.h
+++ b/packages/segment/include/cowslip/segment/route_table.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "cowslip/base.h"
+#include "cowslip/scheduling.h"
 #include "cowslip/segment/frame.h"
 #include "cowslip/segment/segment.h"
 
@@ -54,12 +55,23 @@
 struct RouteTable {
   std::uint64_t version = 0;  ///< 0 before the first configuration.
   std::unordered_map<Endpoint, Route, EndpointHash> routes;
+  /// Limits of requests for upstreams that warm up, by service; 0 for those
+  /// whose limit has been removed.
+  std::unordered_map<ServiceTag, scheduling::RequestRate> warm_up_limits;
+  /// That of all other services.
+  std::optional<scheduling::RequestRate> default_warm_up_limit;
 
   /// @return the route of a service address, nullptr if there is none.
   const Route* Find(const Endpoint& address) const;
   /// Adds the services of the previous version to Route::former, as they own
   /// open connections.
   void InheritFormerServices(const RouteTable& previous);
+  /// @return the limit of a service; std::nullopt if it has none and had none
+  /// as far as this table knows.
+  std::optional<scheduling::RequestRate> WarmUpLimit(ServiceTag service) const;
+  /// Notes which limits of the previous version have been removed, as sidecars
+  /// keep a limit until they are told of another value.
+  void InheritWarmUpLimits(const RouteTable& previous);
 };
 
 }  // namespace cowslip::segment
--- a/packages/segment/include/cowslip/segment/sidecar.h
+++ b/packages/segment/include/cowslip/segment/sidecar.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "cowslip/base.h"
 #include "cowslip/segment/admission.h"
@@ -68,6 +69,16 @@
   void OnBacklogFrame(const SegmentFrame& frame, const Segment& segment,
                       ByteView packet, TimePoint now, Outbox& out);
 
+  /// Sets how long the machine has been suspended since the process started,
+  /// which the steady clock does not count. Call before each event.
+  void SetSuspendedTime(Duration total) { requests_.SetSuspendedTime(total); }
+  /// @return when Dispatch() is due, std::nullopt if it is not.
+  std::optional<TimePoint> NextDispatch(TimePoint now) const {
+    return requests_.NextDispatch(now);
+  }
+  /// Gives the upstream the requests that its limit permits now.
+  void Dispatch(TimePoint now, Outbox& out) { requests_.Dispatch(now, out); }
+
   /// Handles a status report of the upstream.
   ReportResult OnReport(const UpstreamReport& report, TimePoint now);
   /// An upstream process has deregistered, see UpstreamStateTracker.
@@ -78,7 +89,10 @@
   /// The store has come back from an older copy: the newest configuration seen
   /// may be lost. Balancers with an older one count as outdated only once some
   /// balancer is seen to use it again.
-  void OnStoreReturned() { newest_config_in_use_ = false; }
+  void OnStoreReturned() {
+    newest_config_in_use_ = false;
+    requests_.OnStoreReturned();
+  }
   /// Stops accepting new connections, as the instance is stopping.
   void StopAccepting() { stopping_ = true; }
 
@@ -115,6 +129,10 @@
   const LoadEstimator& load() const { return requests_.load(); }
   /// @return requests that wait for a slot of the upstream.
   std::size_t requests_waiting() const { return requests_.waiting(); }
+  /// @return the limit of the upstream while it warms up.
+  const scheduling::WarmUpLimiter& warm_up() const {
+    return requests_.warm_up();
+  }
   /// @return whether a request is in progress or waits.
   bool has_requests() const {
     return load().in_progress() > 0 || requests_waiting() > 0;
--- a/packages/segment/include/cowslip/segment/sidecar_stats.h
+++ b/packages/segment/include/cowslip/segment/sidecar_stats.h
@@ -31,6 +31,8 @@
   LatencyHistogram request_time;
   /// Requests that ended while they waited for a slot.
   std::uint64_t requests_dropped = 0;
+  /// Requests that waited for the limit of the upstream while it warmed up.
+  std::uint64_t warm_up_limited = 0;
   /// Times that a slot was found idle while a request waited beside it.
   std::uint64_t idle_slots_while_waiting = 0;
   /// From the first packet of a request until the upstream was given it.
--- a/packages/segment/src/balancer.cc
+++ b/packages/segment/src/balancer.cc
@@ -204,6 +204,7 @@
     ClassifyRequest(*route, pending, members_.AllReadRequestClass(), now,
                     frame);
   }
+  AddWarmUpLimit(pending.segment, frame);
   const auto first_hop = frame.hops[0];
   if (!pending.sent) {
     pending.timed_sidecar = first_hop;
@@ -257,6 +258,7 @@
   if (frame.hop_count == 0) return;
   frame.config = routes_->version;
   frame.balancer = self_;
+  AddWarmUpLimit(segment, frame);
   out.SendFrame(frame.hops[0], frame, packet);
 }
 
--- a/packages/segment/src/candidate_selector.cc
+++ b/packages/segment/src/candidate_selector.cc
@@ -56,13 +56,12 @@
   const auto previous = std::move(service);
   service = Service{};
   service.last_join = previous.last_join;
-  service.all_read_request_class =
-      std::all_of(members.begin(), members.end(),
-                  [](const auto& each) { return each.frame_version >= 1; });
   bool known_own = false;
   bool known_other = false;
   for (const auto& member : members) {
     service.upstreams.push_back(ToUpstream(member));
+    service.frame_version =
+        std::min(service.frame_version, member.frame_version);
     const auto locality = LocalityOfTag(member.data_center);
     service.localities.push_back(locality);
     known_own = known_own || locality == Locality::kOwn;
@@ -118,10 +117,20 @@
 
 bool CandidateSelector::AllReadRequestClass() const {
   return std::all_of(services_.begin(), services_.end(), [](const auto& each) {
-    return each.second.all_read_request_class;
+    return each.second.frame_version >= kRequestClassVersion;
   });
 }
 
+bool CandidateSelector::AllReadWarmUpLimit(ServiceTag service,
+                                           bool is_syn) const {
+  const auto reads = [](const auto& each) {
+    return each.second.frame_version >= kWarmUpLimitVersion;
+  };
+  if (!is_syn) return std::all_of(services_.begin(), services_.end(), reads);
+  const auto found = services_.find(service);
+  return found != services_.end() && reads(*found);
+}
+
 bool CandidateSelector::HasResponsiveMember() const {
   return std::any_of(services_.begin(), services_.end(), [&](const auto& each) {
     const auto& members = each.second.upstreams;
--- a/packages/segment/src/frame.cc
+++ b/packages/segment/src/frame.cc
@@ -21,14 +21,43 @@
   return std::chrono::milliseconds(field);
 }
 
-/// Reads the class of a request and removes it from the datagram.
-std::optional<RequestClass> TakeRequestClass(ByteView& datagram) {
-  const auto raw = ReadRaw<wire::ClassPrefix>(datagram);
-  if (!raw || KindOf(datagram) != FrameKind::kClassifiedSegment) {
-    return std::nullopt;
+/// Reads what precedes a segment frame, and removes it from the datagram.
+void TakePrefix(ByteView& datagram, SegmentFrame& frame) {
+  const auto kind = KindOf(datagram);
+  if (kind == FrameKind::kClassifiedSegment) {
+    const auto raw = ReadRaw<wire::ClassPrefix>(datagram);
+    if (!raw) return;
+    frame.request =
+        RequestClass{raw->priority(), DecodeTime(raw->time_limit_ms())};
+    datagram = datagram.subspan(sizeof *raw);
+  } else if (kind == FrameKind::kLimitedSegment) {
+    const auto raw = ReadRaw<wire::LimitPrefix>(datagram);
+    if (!raw) return;
+    const RequestClass request{raw->priority(),
+                               DecodeTime(raw->time_limit_ms())};
+    if (request != RequestClass{}) frame.request = request;
+    frame.warm_up_limit =
+        scheduling::RequestRate::FromThousandths(raw->warm_up_limit());
+    datagram = datagram.subspan(sizeof *raw);
+  }
+}
+
+/// Writes what precedes a segment frame.
+void AppendPrefix(const SegmentFrame& frame, Bytes& out) {
+  const auto request = frame.request.value_or(RequestClass{});
+  if (frame.warm_up_limit) {
+    AppendRaw(wire::LimitPrefix(
+                  kMagic, static_cast<std::uint8_t>(FrameKind::kLimitedSegment),
+                  request.priority, EncodeTime(request.time_limit),
+                  frame.warm_up_limit->thousandths()),
+              out);
+  } else if (frame.request) {
+    AppendRaw(
+        wire::ClassPrefix(
+            kMagic, static_cast<std::uint8_t>(FrameKind::kClassifiedSegment),
+            request.priority, EncodeTime(request.time_limit)),
+        out);
   }
-  datagram = datagram.subspan(sizeof(wire::ClassPrefix));
-  return RequestClass{raw->priority(), DecodeTime(raw->time_limit_ms())};
 }
 
 }  // namespace
@@ -40,7 +69,8 @@
   std::memcpy(&magic, datagram.data(), sizeof magic);
   const auto kind = datagram[4];
   if (flatbuffers::EndianScalar(magic) != kMagic) return std::nullopt;
-  if (kind < 1 || kind > static_cast<std::uint8_t>(FrameKind::kOwnerReply)) {
+  if (kind < 1 ||
+      kind > static_cast<std::uint8_t>(FrameKind::kLimitedSegment)) {
     return std::nullopt;
   }
   return static_cast<FrameKind>(kind);
@@ -48,7 +78,8 @@
 
 std::optional<SegmentFrame> DecodeSegmentFrame(ByteView datagram,
                                                ByteView& packet) {
-  const auto request = TakeRequestClass(datagram);
+  SegmentFrame frame;
+  TakePrefix(datagram, frame);
   const auto raw = ReadRaw<wire::SegmentFrame>(datagram);
   if (!raw || raw->magic() != kMagic || raw->hop_count() == 0 ||
       raw->hop_count() > kMaxHops || raw->place() >= raw->hop_count() ||
@@ -58,7 +89,6 @@
   const std::size_t hop_bytes = raw->hop_count() * sizeof(InstanceAddress);
   auto rest = datagram.subspan(sizeof(wire::SegmentFrame));
   if (rest.size() < hop_bytes) return std::nullopt;
-  SegmentFrame frame;
   frame.config = raw->config();
   frame.service = ServiceTag{raw->service()};
   frame.balancer = raw->balancer();
@@ -71,7 +101,6 @@
   frame.other_service = raw->other_service() != 0;
   frame.overloaded = raw->overloaded() != 0;
   frame.time_left = DecodeTime(raw->time_left_ms());
-  frame.request = request;
   frame.best_wait_us = raw->best_wait();
   frame.best_place = raw->best_place();
   for (std::size_t i = 0; i < frame.hop_count; ++i) {
@@ -107,13 +136,7 @@
 
 void AppendSegmentFrame(const SegmentFrame& frame, ByteView packet,
                         Bytes& out) {
-  if (frame.request) {
-    AppendRaw(
-        wire::ClassPrefix(
-            kMagic, static_cast<std::uint8_t>(FrameKind::kClassifiedSegment),
-            frame.request->priority, EncodeTime(frame.request->time_limit)),
-        out);
-  }
+  AppendPrefix(frame, out);
   AppendRaw(wire::SegmentFrame(
                 kMagic, static_cast<std::uint8_t>(FrameKind::kSegment),
                 frame.place, frame.hop_count, frame.asked, frame.config,
--- a/packages/segment/src/request_dispatcher.cc
+++ b/packages/segment/src/request_dispatcher.cc
@@ -45,7 +45,7 @@
   AdmissionState state{.answer_time = decision.answer_time};
   decision.admission = CompareLongFlow(load_, syn.flow.service, now,
                                        decision.admission, state, frame);
-  decision.answer_time = state.answer_time;
+  decision.answer_time = std::max(state.answer_time, LimitedAnswerTime(now));
   return decision;
 }
 
@@ -62,12 +62,39 @@
   }
   const auto forecast =
       scheduler_.Forecast(terms, now - age, now, load_.MeanServiceTime());
-  return {DecideScheduledAdmission(forecast, load_.HasFreeSlot()),
+  const bool has_free_slot =
+      load_.HasFreeSlot() && scheduler_.LimitWait(now) == Duration::zero();
+  return {DecideScheduledAdmission(forecast, has_free_slot),
           std::chrono::duration_cast<std::chrono::microseconds>(
               forecast.answer_time),
           false};
 }
 
+void RequestDispatcher::OnFrame(const SegmentFrame& frame) {
+  if (!frame.warm_up_limit) return;
+  scheduler_.warm_up().OnLimit(frame.config, *frame.warm_up_limit);
+}
+
+bool RequestDispatcher::ClaimQuery(const Segment& segment, TimePoint now) {
+  if (segment.length == 0) return true;
+  if (!scheduler_.warm_up().Permits(now)) return false;
+  scheduler_.warm_up().OnGiven(now);
+  return true;
+}
+
+std::chrono::microseconds RequestDispatcher::LimitedAnswerTime(
+    TimePoint now) const {
+  const auto wait = scheduler_.LimitWait(now);
+  if (wait == Duration::zero()) return {};
+  return std::chrono::duration_cast<std::chrono::microseconds>(wait) +
+         load_.MeanServiceTime();
+}
+
+std::chrono::microseconds RequestDispatcher::ExpectedWait(
+    TimePoint now, const Endpoint& service) const {
+  return std::max(load_.ExpectedWait(now, service), LimitedAnswerTime(now));
+}
+
 void RequestDispatcher::NoteClass(const RequestTerms& terms, TimePoint now) {
   if (!terms.IsClassified()) return;
   last_classified_ = now;
@@ -126,51 +153,72 @@
   }
   const bool is_new = !entry.caller_next_seq_valid ||
                       !EndsAtOrBefore(segment, entry.caller_next_seq);
-  if (is_new) {
+  const auto note_data = [&] {
+    if (!is_new) return;
     entry.caller_next_seq_valid = true;
     entry.caller_next_seq = segment.end_seq();
-  }
+  };
   if (scheduler_.IsWaiting(segment.flow)) {
     const auto outcome =
         scheduler_.Hold(segment.flow, {segment.seq, segment.end_seq(), packet});
-    if (outcome != PacketOutcome::kNoMemory) return false;
+    if (outcome != PacketOutcome::kNoMemory) {
+      note_data();
+      return false;
+    }
     // The upstream gets the data in order, so the packets before go first.
     const auto ready = scheduler_.TakeNow(segment.flow, now);
-    if (ready) Send(*ready, now, out);
+    if (!ready) return false;
+    note_data();
+    Send(*ready, now, out);
+    return true;
+  }
+  if (!is_new || entry.request_in_progress) {
+    note_data();
     return true;
   }
-  if (!is_new || entry.request_in_progress) return true;
   // A process that started after the SYN learns the class from a later frame.
   if (!entry.terms.IsClassified() && frame.request) {
     entry.terms = TermsOf(frame, {});
   }
   NoteClass(entry.terms, now);
-  return PassesNewRequest(entry, segment, packet, now);
+  const auto outcome = SubmitRequest(entry, segment, packet, now);
+  // A packet that is dropped for lack of memory counts as not received.
+  if (outcome != PacketOutcome::kNoMemory) note_data();
+  return outcome == PacketOutcome::kSend;
 }
 
-bool RequestDispatcher::PassesNewRequest(FlowEntry& entry,
-                                         const Segment& segment,
-                                         ByteView packet, TimePoint now) {
+PacketOutcome RequestDispatcher::SubmitRequest(FlowEntry& entry,
+                                               const Segment& segment,
+                                               ByteView packet, TimePoint now) {
   const auto since = entry.first_request_since.value_or(now);
-  entry.first_request_since.reset();
+  // The flow may have been opened after a restart and before the first report
+  // that tells of it, so its first request is limited like others.
+  const bool may_be_owned = entry.first_request_since.has_value() &&
+                            scheduler_.warm_up().IsLimiting(now);
   EndAnnouncement(segment.flow, entry);
   // An upstream that has restarted returns the packet at once, which resets the
   // flow.
-  if (entry.upstream_restarts != upstream_restarts_) return true;
+  if (entry.upstream_restarts != upstream_restarts_ && !may_be_owned) {
+    entry.first_request_since.reset();
+    return PacketOutcome::kSend;
+  }
   if (!IsActive(now)) {
+    entry.first_request_since.reset();
     scheduler_.Start(segment.flow, entry.terms, now);
     OnStarted(segment.flow, &entry, entry.terms, {}, now);
-    return true;
+    return PacketOutcome::kSend;
   }
   const auto outcome =
       scheduler_.Submit(segment.flow, entry.terms, since,
                         {segment.seq, segment.end_seq(), packet}, now);
+  if (outcome == PacketOutcome::kNoMemory) return outcome;
+  entry.first_request_since.reset();
   if (outcome == PacketOutcome::kHeld) {
     load_.OnRequestExpected();
-    return false;
+  } else {
+    OnStarted(segment.flow, &entry, entry.terms, {}, now);
   }
-  OnStarted(segment.flow, &entry, entry.terms, {}, now);
-  return true;
+  return outcome;
 }
 
 void RequestDispatcher::OnStarted(const FlowKey& flow, FlowEntry* entry,
@@ -188,6 +236,7 @@
 void RequestDispatcher::Send(const scheduling::ReadyRequest& ready,
                              TimePoint now, Outbox& out) {
   load_.OnExpectedRequestEnded();
+  stats_->warm_up_limited += ready.waited_for_limit ? 1 : 0;
   OnStarted(ready.flow, flows_->Find(ready.flow), ready.terms, ready.waited,
             now);
   for (const auto& packet : ready.packets) {
@@ -222,6 +271,7 @@
                                   std::string_view reason) {
   load_.OnExpectedRequestEnded();
   ++stats_->requests_dropped;
+  stats_->warm_up_limited += dropped.waited_for_limit ? 1 : 0;
   FlowDecision decision;
   decision.action = "drop_request";
   decision.reason = reason;
@@ -268,7 +318,8 @@
   }
   DropUnanswerable(now);
   Dispatch(now, out);
-  if (scheduler_.slots().HasIdleSlot() && scheduler_.waiting() > 0) {
+  if (scheduler_.slots().HasIdleSlot() && scheduler_.waiting() > 0 &&
+      scheduler_.warm_up().Permits(now)) {
     ++stats_->idle_slots_while_waiting;
   }
 }
@@ -282,6 +333,8 @@
                                  TimePoint now) {
   load_.SetSlots(report.slots);
   scheduler_.SetSlots(report.slots);
+  scheduler_.warm_up().OnReport(
+      {report.started_at, report.warmup_left, restarted}, now);
   if (!restarted) return;
   ++upstream_restarts_;
   for (const auto& each : scheduler_.Reset(now)) {
@@ -291,10 +344,12 @@
 }
 
 std::uint32_t RequestDispatcher::Capacity(TimePoint now) const {
-  const auto free_slots = load_.free_slots();
+  const auto service_time = load_.MeanServiceTime();
+  const auto free_slots = std::min(
+      load_.free_slots(), scheduler_.PermittedWithin(Duration::zero(), now));
   if (!IsActive(now) || !shortest_limit_) return free_slots;
   const auto within =
-      scheduler_.CapacityWithin(*shortest_limit_, load_.MeanServiceTime());
+      scheduler_.CapacityWithin(*shortest_limit_, service_time, now);
   return std::min(std::max(free_slots, within), kMaxCapacity);
 }
 
--- a/packages/segment/src/route_table.cc
+++ b/packages/segment/src/route_table.cc
@@ -58,4 +58,20 @@
   }
 }
 
+std::optional<scheduling::RequestRate> RouteTable::WarmUpLimit(
+    ServiceTag service) const {
+  const auto found = warm_up_limits.find(service);
+  return found == warm_up_limits.end() ? default_warm_up_limit : found->second;
+}
+
+void RouteTable::InheritWarmUpLimits(const RouteTable& previous) {
+  constexpr scheduling::RequestRate kNone;
+  if (previous.default_warm_up_limit && !default_warm_up_limit) {
+    default_warm_up_limit = kNone;
+  }
+  for (const auto& [service, limit] : previous.warm_up_limits) {
+    if (!WarmUpLimit(service)) warm_up_limits.emplace(service, kNone);
+  }
+}
+
 }  // namespace cowslip::segment
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -28,7 +28,7 @@
       service_(service),
       observer_(&observer),
       unseen_flows_(started),
-      requests_(flows_, stats_, observer) {}
+      requests_(flows_, stats_, observer, started) {}
 
 void Sidecar::UpdateConfigVersion(std::uint64_t config, TimePoint now) {
   if (config >= newest_config_) newest_config_in_use_ = true;
@@ -51,6 +51,7 @@
                       ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.frames;
   UpdateConfigVersion(frame.config, now);
+  if (frame.service == service_) requests_.OnFrame(frame);
   if (segment.is_syn()) {
     ++stats_.openings;
     HandleSyn(frame, segment, packet, now, out);
@@ -168,7 +169,8 @@
       return;
     case Ownership::kUnknown:
       if (!frame.other_service &&
-          pending_queries_.size() < kMaxPendingQueries) {
+          pending_queries_.size() < kMaxPendingQueries &&
+          requests_.ClaimQuery(segment, now)) {
         QueryUpstream(frame, segment, packet, now, out);
         return;
       }
@@ -369,6 +371,7 @@
 
 void Sidecar::OnTick(TimePoint now, Outbox& out) {
   liveness_.OnTick(now);
+  if (liveness_.is_missing()) requests_.OnMayHaveRestarted();
   EndQueries(now, out);
   while (!pending_syns_.empty() && now >= pending_syns_.front().due) {
     auto pending_syn = pending_syns_.front();
@@ -382,6 +385,7 @@
     const bool was_open = upstream_state_.open();
     upstream_state_.OnUnanswered();
     if (was_open && !upstream_state_.open()) {
+      requests_.OnMayHaveRestarted();
       LogDecision("upstream_silent", "openings_unanswered", pending_syn.flow,
                   pending_syn.frame);
     }
