--- a/tests/segment/scheduling_failure_test.cc
+++ b/tests/segment/scheduling_failure_test.cc
@@ -39,17 +39,30 @@
 /// is its sequence number in one byte.
 class SidecarHost {
  public:
-  SidecarHost()
-      : sidecar(kSidecar, TagOf("vault"), observer, {kStart, seconds(1000)}) {
-    Report("first", milliseconds(1000001));
+  SidecarHost() : SidecarHost(milliseconds(1000001), 1, milliseconds(0)) {}
+  SidecarHost(milliseconds started_at, std::uint32_t upstream_slots,
+              milliseconds left)
+      : sidecar(kSidecar, TagOf("vault"), observer, {kStart, seconds(1000)}),
+        slots(upstream_slots),
+        warmup_left(left) {
+    Report("first", started_at);
+  }
+  /// An upstream with 10 slots that is cold for 2 s, with a limit of two
+  /// requests per second, and routes without a class.
+  static std::unique_ptr<SidecarHost> MakeCold(
+      milliseconds started_at = milliseconds(1000001)) {
+    auto host = std::make_unique<SidecarHost>(started_at, 10, seconds(2));
+    host->warm_up_limit = scheduling::RequestRate::FromPerSecond(2);
+    return host;
   }
 
   void Report(const char* id, milliseconds started_at) {
     UpstreamReport report;
     report.id = id;
     report.started_at = started_at;
-    report.sequence = 1;
-    report.slots = 1;
+    report.sequence = ++sequence;
+    report.slots = slots;
+    report.warmup_left = warmup_left;
     sidecar.OnReport(report, now);
   }
 
@@ -71,6 +84,7 @@
     frame.searched = true;
     frame.forced = true;
     frame.request = request;
+    frame.warm_up_limit = warm_up_limit;
     if (request) frame.time_left = milliseconds(500);
     Outbox out;
     sidecar.OnFrame(frame, segment, Bytes{number}, now, out);
@@ -127,6 +141,10 @@
   TimePoint now = kStart;
   Sidecar sidecar;
   Ack last_ack;
+  std::uint64_t sequence = 0;
+  std::uint32_t slots = 1;
+  milliseconds warmup_left{0};
+  std::optional<scheduling::RequestRate> warm_up_limit;
 
  private:
   std::vector<Bytes> Collect(const Outbox& out) {
@@ -302,6 +320,175 @@
   host.HoldThird(kUrgent);
 }
 
+// Guards against requests on open flows, or of routes without a class, that
+// reach a cold upstream beside its limit.
+BOOST_AUTO_TEST_CASE(WarmUpLimitCountsRequestsOfAllFlows) {
+  const auto host = SidecarHost::MakeCold();
+  for (std::uint16_t port = 1; port <= 5; ++port) {
+    host->Open(port, std::nullopt);
+    BOOST_TEST(host->Ask(port).size() == (port <= 2 ? 1U : 0U));
+  }
+  BOOST_TEST(host->last_ack.free_slots == 0U);
+  BOOST_TEST(host->last_ack.expected_wait_us > 1'000'000U);
+  // A repeated packet passes and is not counted again.
+  BOOST_TEST(host->Ask(1).size() == 1U);
+  host->Answer(1);
+  BOOST_TEST(host->Ask(1, 1).empty());
+  BOOST_TEST((host->sidecar.NextDispatch(host->now) ==
+              kStart + seconds(1) + std::chrono::nanoseconds(1)));
+  host->now += seconds(1);
+  BOOST_TEST(host->Tick().empty());
+  host->now += milliseconds(1);
+  BOOST_TEST(host->Tick().size() == 2U);
+  BOOST_TEST(host->Tick().empty());
+  BOOST_TEST(host->sidecar.stats().warm_up_limited == 2U);
+  BOOST_TEST(host->sidecar.stats().idle_slots_while_waiting == 0U);
+}
+
+// Guards against SYNs that wait for a cold upstream while others are free.
+BOOST_AUTO_TEST_CASE(WarmUpLimitMakesACandidate) {
+  const auto host = SidecarHost::MakeCold();
+  host->Open(1, kUrgent);
+  host->Open(2, kUrgent);
+  auto syn = host->Make(3);
+  syn.syn = true;
+  SegmentFrame frame;
+  frame.service = TagOf("vault");
+  frame.hop_count = 2;
+  frame.hops = {kSidecar, kSidecar + 1};
+  frame.request = kOther;
+  Outbox out;
+  host->sidecar.OnFrame(frame, syn, Bytes{1}, host->now, out);
+  ByteView packet;
+  std::optional<SegmentFrame> next;
+  for (const auto& effect : out.effects()) {
+    if (effect.instance != kSidecar + 1) continue;
+    next = DecodeSegmentFrame(out.Datagram(effect), packet);
+  }
+  BOOST_REQUIRE(next.has_value());
+  BOOST_TEST(next->best_wait_us > 1'000'000U);
+  BOOST_TEST(next->best_wait_us < 1'100'000U);
+}
+
+// Guards against a step in the queue of an upstream whose warm-up ends, and
+// against requests that overtake those that waited.
+BOOST_AUTO_TEST_CASE(EndOfTheWarmUpKeepsThePaceOfTheSlots) {
+  const auto host = SidecarHost::MakeCold();
+  for (std::uint16_t port = 1; port <= 20; ++port) {
+    host->Open(port, std::nullopt);
+    host->Ask(port);
+  }
+  BOOST_TEST(host->sidecar.requests_waiting() == 18U);
+  host->now += milliseconds(900);
+  host->warmup_left = milliseconds(0);
+  host->Report("first", milliseconds(1000001));
+  BOOST_TEST(host->Tick().size() == 9U);
+  host->Open(21, std::nullopt);
+  BOOST_TEST(host->Ask(21).empty());
+  BOOST_TEST(host->Answer(1).size() == 1U);
+}
+
+// Guards against a restarted sidecar that asks a cold upstream for the owner of
+// flows with their requests.
+BOOST_AUTO_TEST_CASE(WarmUpLimitCountsPacketsOfUnseenFlows) {
+  const auto host = SidecarHost::MakeCold(milliseconds(999000));
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    BOOST_TEST(host->Ask(port).empty());
+  }
+  // Without data it is no request.
+  auto ack = host->Make(4);
+  ack.ack_flag = true;
+  BOOST_TEST(host->FromCaller(ack, 0, std::nullopt).size() == 1U);
+  host->now += milliseconds(1001);
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    BOOST_TEST(host->Ask(port).size() == (port <= 2 ? 1U : 0U));
+  }
+}
+
+// Guards against uploads that exceed the memory for held packets and so the
+// limit, and against data that the upstream gets with a hole.
+BOOST_AUTO_TEST_CASE(WarmUpLimitHoldsMoreThanTheMemory) {
+  const auto host = SidecarHost::MakeCold();
+  for (std::uint16_t port = 1; port <= 3; ++port) {
+    host->Open(port, std::nullopt);
+    host->Ask(port);
+  }
+  std::size_t packets = 1;
+  for (std::uint8_t number = 1; number < 255; ++number, ++packets) {
+    auto segment = host->Make(3);
+    segment.ack_flag = true;
+    segment.seq = number * 100U;
+    segment.length = 100;
+    // The memory counts the packet as it is, of one byte, and what it takes.
+    BOOST_REQUIRE(host->FromCaller(segment, number, std::nullopt).empty());
+  }
+  const auto large = scheduling::RequestScheduler::kMaxFlowBytes;
+  auto last = host->Make(3);
+  last.ack_flag = true;
+  last.seq = 255 * 100U;
+  last.length = 100;
+  SegmentFrame frame;
+  frame.service = TagOf("vault");
+  frame.hop_count = 1;
+  Outbox out;
+  host->sidecar.OnFrame(frame, last, Bytes(large), host->now, out);
+  for (const auto& effect : out.effects()) {
+    BOOST_TEST((effect.kind != EffectKind::kSendToUpstream));
+  }
+  host->now += milliseconds(1001);
+  BOOST_TEST(host->Tick().size() == packets);
+  // The caller repeats the dropped packet.
+  BOOST_TEST(host->FromCaller(last, 9, std::nullopt).size() == 1U);
+}
+
+// Guards against a new process of the upstream that is given requests of flows
+// that were opened before its first report without counting them.
+BOOST_AUTO_TEST_CASE(WarmUpLimitCountsFlowsOpenedBeforeTheReport) {
+  const auto host = SidecarHost::MakeCold();
+  host->now += milliseconds(500);
+  for (std::uint16_t port = 1; port <= 4; ++port) {
+    host->Open(port, std::nullopt);
+  }
+  host->Report("restarted", milliseconds(1000499));
+  for (std::uint16_t port = 1; port <= 4; ++port) {
+    BOOST_TEST(host->Ask(port).size() == (port <= 2 ? 1U : 0U));
+  }
+}
+
+// Guards against a limit that stays after it was removed, that reaches members
+// of earlier builds, or that a route without a limit gets.
+BOOST_AUTO_TEST_CASE(WarmUpLimitComesWithTheFrames) {
+  for (const std::uint8_t version : {0, 1, 2}) {
+    Simulation sim;
+    sim.AddBalancer(0);
+    sim.SetFrameVersion(0, version);
+    sim.AddSidecar(0, "vault", {});
+    const auto limit = scheduling::RequestRate::FromPerSecond(2.5);
+    auto routes = Simulation::MakeRoutes(1, "vault");
+    routes->warm_up_limits[TagOf("vault")] = limit;
+    sim.SetRoutesOf(0, routes);
+    sim.UpdateAllMembers();
+    sim.Report(0);
+    auto& caller = sim.AddCaller();
+    caller.Open();
+    sim.Run(seconds(1));
+    BOOST_TEST((caller.state() == CallState::kAnswered));
+    const bool reads = version >= kWarmUpLimitVersion;
+    BOOST_TEST((sim.sidecar(0).warm_up().limit() ==
+                (reads ? limit : scheduling::RequestRate())));
+    // A restarted sidecar learns it from an open flow.
+    sim.RestartSidecar(0);
+    sim.Report(0);
+    caller.Ask();
+    sim.Run(seconds(1));
+    BOOST_TEST(sim.sidecar(0).warm_up().limit().is_limit() == reads);
+    sim.SetRoutesOf(0, Simulation::MakeRoutes(2, "vault"));
+    sim.AddCaller().Open();
+    sim.Run(seconds(1));
+    BOOST_TEST(!sim.sidecar(0).warm_up().limit().is_limit());
+  }
+}
+
 // An upstream loses the responses of some requests: their slots come back.
 BOOST_AUTO_TEST_CASE(SlotsOfUnansweredRequestsComeBack) {
   Simulation sim;
--- a/tests/segment/sidecar_parts_test.cc
+++ b/tests/segment/sidecar_parts_test.cc
@@ -244,6 +244,40 @@
   }
 }
 
+// Guards against a limit that is lost on the way, and against a format that
+// differs between builds: bytes as this version writes them.
+BOOST_AUTO_TEST_CASE(FrameWithWarmUpLimitRoundTrip) {
+  const Bytes packet{1, 2, 3, 4};
+  const std::optional<RequestClass> classes[] = {
+      std::nullopt, RequestClass{1, milliseconds(0x102)}};
+  for (const auto& request : classes) {
+    SegmentFrame frame;
+    frame.hop_count = 1;
+    Bytes plain;
+    AppendSegmentFrame(frame, packet, plain);
+    frame.request = request;
+    frame.warm_up_limit = scheduling::RequestRate::FromPerSecond(20.5);
+    Bytes limited;
+    AppendSegmentFrame(frame, packet, limited);
+    Bytes expected(plain.begin(), plain.begin() + 4);
+    for (const int each : {7, request ? 1 : 255, request ? 2 : 0,
+                           request ? 1 : 0, 0x14, 0x50, 0, 0}) {
+      expected.push_back(static_cast<std::uint8_t>(each));
+    }
+    expected.insert(expected.end(), plain.begin(), plain.end());
+    BOOST_TEST(limited == expected, boost::test_tools::per_element());
+    ByteView inner;
+    const auto read = DecodeSegmentFrame(limited, inner);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->request == request));
+    BOOST_TEST((read->warm_up_limit == frame.warm_up_limit));
+    BOOST_TEST(inner.size() == packet.size());
+    for (std::size_t size = 0; size + packet.size() < limited.size(); ++size) {
+      BOOST_TEST(!DecodeSegmentFrame(ByteView(limited).first(size), inner));
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidFramesAreRejected) {
   SegmentFrame frame;
   frame.hop_count = 2;
--- a/tests/segment/simulation.cc
+++ b/tests/segment/simulation.cc
@@ -152,6 +152,7 @@
   auto& balancer = *balancers_.at(index);
   auto table = std::make_shared<RouteTable>(*routes);
   table->InheritFormerServices(balancer.routes());
+  table->InheritWarmUpLimits(balancer.routes());
   const auto version = balancer.routes().version;
   balancer.SetRoutes(table, version + 1 == table->version, now_);
   newest_version_ = std::max(newest_version_, table->version);
