--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -11,6 +11,7 @@
 #include "platform/packet_header.h"
 #include "platform/route_document.h"
 #include "platform/settings.h"
+#include "platform/suspended_time.h"
 
 namespace cowslip::platform_adapter {
 namespace {
@@ -225,6 +226,59 @@
              segment::RequestClass::kUnknownPriority);
 }
 
+// Guards against a limit that is read from the wrong place, and against invalid
+// ones that keep a document from coming into force.
+BOOST_AUTO_TEST_CASE(ReadsWarmUpLimits) {
+  struct Case {
+    const char* fields;
+    std::optional<double> of_a;
+    std::optional<double> of_others;
+  };
+  const Case cases[] = {
+      {R"("services":[],"limits":{})", {}, {}},
+      {R"("services":[{"name":"a","warmupPerS":0}])", {}, {}},
+      {R"("services":[{"name":"a","warmupPerS":2.5}])", 2.5, {}},
+      {R"("limits":{"warmupPerS":20})", 20, 20},
+      {R"("services":[{"name":"a","warmupPerS":3}],"limits":{"warmupPerS":20})",
+       3, 20},
+      {R"("services":[{"name":"a","warmupPerS":0}],"limits":{"warmupPerS":20})",
+       0, 20},
+      {R"("warmupPerS":7,"limits":{"warmupPerS":0})", {}, {}},
+      {R"("warmupPerS":7,"services":[{"name":"b","warmupPerS":1}])", 7, 7},
+      {R"("services":[7,{"name":"a","warmupPerS":"x"}],"limits":3)", {}, {}},
+      {R"("services":[{"name":"a","warmupPerS":-1}])", {}, {}}};
+  for (const auto& each : cases) {
+    LastReason<AdapterError> reason;
+    const auto table = ParseRouteDocument(
+        std::string(R"({"version":4,"routes":[],)") + each.fields + "}",
+        reason);
+    BOOST_REQUIRE_MESSAGE(table.has_value(), each.fields);
+    const auto check = [&](const char* service,
+                           std::optional<double> expected) {
+      const auto limit = table->WarmUpLimit(segment::TagOf(service));
+      BOOST_TEST(limit.has_value() == expected.has_value(), each.fields);
+      if (limit && expected) BOOST_TEST(limit->per_second() == *expected);
+    };
+    check("a", each.of_a);
+    check("c", each.of_others);
+  }
+}
+
+// Guards against a process that is interrupted between two clocks and takes
+// that for a suspension, in which requests would count as older than they are.
+BOOST_AUTO_TEST_CASE(InterruptionIsNoSuspension) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  const Duration lead = seconds(5);
+  const Duration at = seconds(100);
+  const auto late = milliseconds(30);
+  BOOST_TEST((SuspendedTime::Lead(lead, at, at + lead, at + late) == lead));
+  BOOST_TEST(
+      (SuspendedTime::Lead(lead, at, at + late + lead, at + late) == lead));
+  BOOST_TEST((SuspendedTime::Lead(lead, at, at + lead + seconds(2),
+                                  at + late) == lead + seconds(2) - late));
+}
+
 BOOST_AUTO_TEST_CASE(DocumentWithAnInvalidRouteIsRejected) {
   for (const char* prefix : {"8443", "/x/", "/70000/", "//"}) {
     LastReason<AdapterError> reason;
--- a/tests/segment/fake_upstream.cc
+++ b/tests/segment/fake_upstream.cc
@@ -67,6 +67,7 @@
 }
 
 void FakeUpstream::Enqueue(const FlowKey& flow) {
+  if (output_.receives) output_.receives();
   if (busy_ < options_.slots) {
     StartRequest(flow);
   } else if (queue_.size() < options_.queue) {
--- a/tests/segment/fake_upstream.h
+++ b/tests/segment/fake_upstream.h
@@ -38,6 +38,8 @@
     /// Called when it starts to serve the request that ends at this sequence
     /// number; may be empty.
     std::function<void(const FlowKey&, std::uint32_t end)> runs = nullptr;
+    /// Called when a request is received; may be empty.
+    std::function<void()> receives = nullptr;
     /// Service time of the next request, in place of Options::service_time; may
     /// be empty.
     std::function<std::chrono::milliseconds()> draw_service_time = nullptr;
