Warm-up limit: late requests do not use it up; restarts before the report

Cause: when all upstreams return cold, the callers of the outage, whose responses are late in any case, are given the whole limit at once, and later callers wait for up to a second. And a new process of the upstream that has not sent its first report was given requests without a limit.

Requests that would be late are spread over a second and leave a quarter of the limit to others. An upstream that loses a flow which it would have kept (packets in the last 10 s, younger than 50 s), that stops answering SYNs or sending reports counts as cold until its next report.

--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -131,6 +131,10 @@
   /// @return when a request can be taken that waits only for the limit of an
   /// upstream that warms up; std::nullopt if there is none.
   std::optional<TimePoint> NextPermitted(TimePoint now) const;
+  /// @return whether a slot is idle while a request waits that could have it.
+  bool WastesSlot(TimePoint now) const {
+    return slots_.HasIdleSlot() && waiting() > 0 && !NextPermitted(now);
+  }
   /// @return the time in which the last of a number of requests is answered.
   /// Slots may become free all at once, so the last requests of the queue wait
   /// for whole rounds.
@@ -153,7 +157,8 @@
   }
   DroppedRequest ToDropped(const QueuedRequest& request, TimePoint now) const;
   Queue::iterator Erase(Queue::iterator entry);
-  Queue::iterator FindNext(const RequestOrder& order);
+  /// @param takes_late whether requests that can't meet their target count.
+  Queue::iterator FindNext(const RequestOrder& order, bool takes_late);
   ReadyRequest Take(Queue::iterator entry, TimePoint now);
   /// @return whether the limit permits a request; if not, notes that it keeps a
   /// slot from being used.
@@ -164,8 +169,10 @@
   /// @return the time in which a request is answered that comes behind others.
   /// @param ahead requests in progress and waiting ahead of it.
   /// @param waiting those of them that wait.
-  Duration AnswerTimeBehind(std::size_t ahead, std::size_t waiting,
-                            TimePoint now, Duration service_time) const;
+  Duration AnswerTimeBehind(const QueuedRequest& request,
+                            const RequestOrder& order, std::size_t ahead,
+                            std::size_t waiting, TimePoint now,
+                            Duration service_time) const;
 
   SlotTable slots_;
   WarmUpLimiter warm_up_;
--- a/packages/scheduling/include/cowslip/scheduling/sliding_window_limit.h
+++ b/packages/scheduling/include/cowslip/scheduling/sliding_window_limit.h
@@ -35,8 +35,11 @@
   void ForgetAssumption() { assumed_at_.reset(); }
 
   /// @param ahead events that come first, each as soon as it is permitted.
+  /// @param reserved events of the limit that are kept for others; at least one
+  /// is not.
   /// @return when a further event is permitted, at least `now`.
-  TimePoint PermittedAt(TimePoint now, std::size_t ahead = 0) const;
+  TimePoint PermittedAt(TimePoint now, std::size_t ahead = 0,
+                        std::uint32_t reserved = 0) const;
 
  private:
   std::uint32_t limit_ = 1;
--- a/packages/scheduling/include/cowslip/scheduling/warm_up_limiter.h
+++ b/packages/scheduling/include/cowslip/scheduling/warm_up_limiter.h
@@ -50,7 +50,10 @@
   /// until its next report.
   void OnMayHaveRestarted() { cold_until_.reset(); }
   /// The upstream was given a request, within the limit or not.
-  void OnGiven(TimePoint now) { window_.OnEvent(Counted(now)); }
+  void OnGiven(TimePoint now) {
+    last_given_ = Counted(now);
+    window_.OnEvent(last_given_);
+  }
 
   RequestRate limit() const { return limit_; }
   /// @return whether the upstream is warming up; unless a report has told, it
@@ -66,6 +69,14 @@
   /// @return the time until a further request is permitted.
   Duration Wait(TimePoint now, std::size_t ahead = 0) const;
   bool Permits(TimePoint now) const { return Wait(now) == Duration::zero(); }
+  /// The same of a request whose response would be late. They are spread evenly
+  /// over a second and may not use all of the limit: callers that wait since an
+  /// outage would use it up at once, and later ones, who could be in time,
+  /// would wait for a second.
+  Duration WaitIfLate(TimePoint now, std::size_t ahead = 0) const;
+  bool PermitsLate(TimePoint now) const {
+    return WaitIfLate(now) == Duration::zero();
+  }
   /// @return the time until the upstream is warm as of its last report; 0
   /// without a report.
   Duration WarmUpLeft(TimePoint now) const;
@@ -81,6 +92,7 @@
   /// std::nullopt if no report tells.
   std::optional<TimePoint> cold_until_;
   SlidingWindowLimit window_;
+  TimePoint last_given_{};
 };
 
 }  // namespace cowslip::scheduling
--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -45,8 +45,8 @@
                                        TimePoint now) {
   if (IsWaiting(flow)) return Hold(flow, packet);
   Withdraw(flow);
-  const bool has_room = slots_.HasRoom();
-  if (has_room && waiting() == 0 && CheckLimit(now)) {
+  // With a limit, TakeNext() decides, which knows if the response is late.
+  if (slots_.HasRoom() && waiting() == 0 && !warm_up_.IsLimiting(now)) {
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -59,7 +59,7 @@
   const auto size = SizeOf(request);
   if (request.packets.bytes() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
       queue_.size() >= kMaxRequests) {
-    if (!warm_up_.Permits(now)) return PacketOutcome::kNoMemory;
+    if (!CheckLimit(now)) return PacketOutcome::kNoMemory;
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -112,9 +112,10 @@
 }
 
 RequestScheduler::Queue::iterator RequestScheduler::FindNext(
-    const RequestOrder& order) {
+    const RequestOrder& order, bool takes_late) {
   const auto is_ready = [&](const QueuedRequest& request) {
-    return !request.is_announced() && order.CanBeAnswered(request);
+    return !request.is_announced() && order.CanBeAnswered(request) &&
+           (takes_late || order.CanMeetTarget(request));
   };
   auto first = queue_.end();
   for (auto entry = queue_.begin(); entry != queue_.end(); ++entry) {
@@ -141,9 +142,11 @@
   if (!slots_.HasRoom() || waiting() == 0 || !CheckLimit(now)) {
     return std::nullopt;
   }
-  const auto next = FindNext(RequestOrder(now, service_time));
-  if (next == queue_.end()) return std::nullopt;
-  return Take(next, now);
+  const bool takes_late = warm_up_.PermitsLate(now);
+  const auto next = FindNext(RequestOrder(now, service_time), takes_late);
+  if (next != queue_.end()) return Take(next, now);
+  if (!takes_late) limited_at_ = now;
+  return std::nullopt;
 }
 
 DroppedRequest RequestScheduler::ToDropped(const QueuedRequest& request,
@@ -219,8 +222,8 @@
     }
   }
   AnswerForecast forecast;
-  forecast.answer_time =
-      AnswerTimeBehind(ahead, waiting_ahead, now, service_time);
+  forecast.answer_time = AnswerTimeBehind(candidate, order, ahead,
+                                          waiting_ahead, now, service_time);
   const auto answer_at = now + forecast.answer_time;
   forecast.in_time = answer_at <= candidate.target_at();
   forecast.before_limit = answer_at <= since + terms.limit();
@@ -232,9 +235,11 @@
   bool displaces_other = false;
   for (const auto* request : behind) {
     const auto before =
-        now + AnswerTimeBehind(ahead, waiting_ahead, now, service_time);
+        now + AnswerTimeBehind(*request, order, ahead, waiting_ahead, now,
+                               service_time);
     const auto after =
-        now + AnswerTimeBehind(ahead + 1, waiting_ahead + 1, now, service_time);
+        now + AnswerTimeBehind(*request, order, ahead + 1, waiting_ahead + 1,
+                               now, service_time);
     const auto limit = request->since + request->terms.limit();
     // Will be dropped in any case, so it takes no slot.
     if (before > limit) continue;
@@ -281,16 +286,22 @@
   return low;
 }
 
-Duration RequestScheduler::AnswerTimeBehind(std::size_t ahead,
+Duration RequestScheduler::AnswerTimeBehind(const QueuedRequest& request,
+                                            const RequestOrder& order,
+                                            std::size_t ahead,
                                             std::size_t waiting, TimePoint now,
                                             Duration service_time) const {
-  return std::max(AnswerTimeOf(ahead + 1, service_time),
-                  warm_up_.Wait(now, waiting) + service_time);
+  const auto wait = order.CanMeetTarget(request)
+                        ? warm_up_.Wait(now, waiting)
+                        : warm_up_.WaitIfLate(now, waiting);
+  return std::max(AnswerTimeOf(ahead + 1, service_time), wait + service_time);
 }
 
 std::optional<TimePoint> RequestScheduler::NextPermitted(TimePoint now) const {
   if (waiting() == 0 || !slots_.HasRoom()) return std::nullopt;
-  const auto wait = warm_up_.Wait(now);
+  auto wait = warm_up_.Wait(now);
+  // Those that are in time have been taken.
+  if (wait == Duration::zero()) wait = warm_up_.WaitIfLate(now);
   if (wait == Duration::zero()) return std::nullopt;
   return now + wait;
 }
--- a/packages/scheduling/src/sliding_window_limit.cc
+++ b/packages/scheduling/src/sliding_window_limit.cc
@@ -26,19 +26,20 @@
   while (!events_.empty() && events_.front() < time) events_.pop_front();
 }
 
-TimePoint SlidingWindowLimit::PermittedAt(TimePoint now,
-                                          std::size_t ahead) const {
+TimePoint SlidingWindowLimit::PermittedAt(TimePoint now, std::size_t ahead,
+                                          std::uint32_t reserved) const {
+  const auto limit = reserved < limit_ ? limit_ - reserved : 1;
   const auto first = std::partition_point(
       events_.begin(), events_.end(),
       [&](TimePoint event) { return now >= event + kClearAfter; });
   const auto present = static_cast<std::size_t>(events_.end() - first);
   // The event that has to leave the window before. Of the events to come, each
-  // one waits for the one that is `limit_` places ahead of it.
-  const auto in_round = ahead % limit_;
-  const auto rounds = static_cast<Duration::rep>(ahead / limit_);
+  // one waits for the one that is `limit` places ahead of it.
+  const auto in_round = ahead % limit;
+  const auto rounds = static_cast<Duration::rep>(ahead / limit);
   auto permitted_at = now;
-  if (present + in_round >= limit_) {
-    const auto index = static_cast<std::ptrdiff_t>(present + in_round - limit_);
+  if (present + in_round >= limit) {
+    const auto index = static_cast<std::ptrdiff_t>(present + in_round - limit);
     permitted_at = std::max(permitted_at, *(first + index) + kClearAfter);
   }
   if (assumed_at_) {
--- a/packages/scheduling/src/warm_up_limiter.cc
+++ b/packages/scheduling/src/warm_up_limiter.cc
@@ -3,6 +3,15 @@
 #include <algorithm>
 
 namespace cowslip::scheduling {
+namespace {
+
+/// Part of the limit that is kept for requests that can be in time. In
+/// cold_data_center_test, with all upstreams cold, the value of the responses
+/// is 0.93 of that with a quarter if late requests are neither spread nor
+/// limited to the rest; with a third to four fifths it is 0.96 to 1.00.
+constexpr std::uint32_t kReservedDivisor = 4;
+
+}  // namespace
 
 void WarmUpLimiter::OnProcessStarted(TimePoint now,
                                      std::chrono::milliseconds time_of_day) {
@@ -45,6 +54,19 @@
   return permitted_at - counted;
 }
 
+Duration WarmUpLimiter::WaitIfLate(TimePoint now, std::size_t ahead) const {
+  if (!IsLimiting(now)) return Duration::zero();
+  const auto counted = Counted(now);
+  const auto limit = limit_.WholePerSecond();
+  const Duration interval = Duration(SlidingWindowLimit::kWindow) / limit;
+  const auto requests = static_cast<Duration::rep>(ahead + 1);
+  auto permitted_at =
+      std::max(last_given_ + requests * interval,
+               window_.PermittedAt(counted, ahead, limit / kReservedDivisor));
+  if (cold_until_) permitted_at = std::min(permitted_at, *cold_until_);
+  return std::max(permitted_at - counted, Duration::zero());
+}
+
 Duration WarmUpLimiter::WarmUpLeft(TimePoint now) const {
   if (!cold_until_) return Duration::zero();
   return std::max(*cold_until_ - Counted(now), Duration::zero());
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -44,6 +44,9 @@
   /// RequestDispatcher::upstream_restarts() when the upstream had the flow.
   std::uint32_t upstream_restarts = 0;
   TimePoint last_activity{};  ///< Last packet of the flow.
+  TimePoint started{};        ///< Start of the record.
+  /// Last packet of the flow that the upstream sent.
+  TimePoint upstream_activity{};
 };
 
 /// Flows that a sidecar has seen, limited in size and in the age of its
--- a/packages/segment/include/cowslip/segment/request_dispatcher.h
+++ b/packages/segment/include/cowslip/segment/request_dispatcher.h
@@ -85,6 +85,8 @@
   void SetWarmup(bool warming_up) { load_.SetWarmup(warming_up); }
   /// The upstream has shown that it may be a new process, before its report.
   void OnMayHaveRestarted() { scheduler_.warm_up().OnMayHaveRestarted(); }
+  /// The upstream has returned a packet of a flow that it owned.
+  void OnFlowLost(const FlowEntry& entry, TimePoint now);
   void OnStoreReturned() { scheduler_.warm_up().OnStoreReturned(); }
   /// Sets how long the machine has been suspended since the process started.
   void SetSuspendedTime(Duration total) {
--- a/packages/segment/src/request_dispatcher.cc
+++ b/packages/segment/src/request_dispatcher.cc
@@ -15,6 +15,10 @@
 /// Time until a first request is no longer expected. Callers send it within a
 /// round trip of the SYN.
 constexpr std::chrono::milliseconds kFirstRequestTimeout{150};
+/// Time for which upstreams keep a flow that is idle, and one that is not, less
+/// a margin: they may discard flows that are idle for 15 s or older than 60 s.
+constexpr std::chrono::seconds kKeptIdleTime{10};
+constexpr std::chrono::seconds kKeptAge{50};
 /// Time after which a longer time limit replaces the shortest one seen, as its
 /// route may have been changed or removed.
 constexpr std::chrono::seconds kShortestLimitLifetime{10};
@@ -248,12 +252,20 @@
                                          const Segment& segment,
                                          TimePoint now) {
   entry.upstream_restarts = upstream_restarts_;
+  entry.upstream_activity = now;
   if (segment.length == 0 || !entry.request_in_progress) return;
   entry.request_in_progress = false;
   stats_->request_time.Record(now - entry.request.arrival);
   if (scheduler_.Free(segment.flow)) load_.OnResponse(entry.request, now);
 }
 
+void RequestDispatcher::OnFlowLost(const FlowEntry& entry, TimePoint now) {
+  const bool of_present_process = entry.upstream_restarts == upstream_restarts_;
+  const bool is_kept = now - entry.upstream_activity < kKeptIdleTime &&
+                       now - entry.started < kKeptAge;
+  if (of_present_process && is_kept) OnMayHaveRestarted();
+}
+
 void RequestDispatcher::Release(const FlowKey& flow, FlowEntry& entry,
                                 TimePoint now) {
   EndAnnouncement(flow, entry);
@@ -318,10 +330,7 @@
   }
   DropUnanswerable(now);
   Dispatch(now, out);
-  if (scheduler_.slots().HasIdleSlot() && scheduler_.waiting() > 0 &&
-      scheduler_.warm_up().Permits(now)) {
-    ++stats_->idle_slots_while_waiting;
-  }
+  if (scheduler_.WastesSlot(now)) ++stats_->idle_slots_while_waiting;
 }
 
 void RequestDispatcher::OnResume(TimePoint now) {
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -274,6 +274,7 @@
   const auto evicted = flows_.evicted_open();
   auto& entry = flows_.Start(flow, state, now);
   entry.upstream_restarts = requests_.upstream_restarts();
+  entry.started = now;
   if (flows_.evicted_open() != evicted) unseen_flows_.OnRecordLost(now);
   return entry;
 }
@@ -329,6 +330,7 @@
       entry != nullptr && (entry->state == FlowState::kEstablished ||
                            entry->state == FlowState::kClosed);
   if (owned) {
+    requests_.OnFlowLost(*entry, now);
     // The upstream owned the flow and has lost it in a restart. The caller's
     // next attempt needs an upstream that accepts connections.
     if (!upstream_ready()) {
--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -53,6 +53,13 @@
   void SetFrameVersion(int balancer, std::uint8_t version) {
     frame_versions_[balancer] = version;
   }
+  /// Spreads the instances that are added later over data centres by their
+  /// index; with one, it is not known.
+  void SetDataCenters(int count) { data_centers_ = count; }
+  /// Sets what is called with the index of an upstream that receives a request.
+  void SetOnReceived(std::function<void(int)> received) {
+    received_ = std::move(received);
+  }
   /// Upstreams report that they are warming up for this long after a start.
   void SetWarmup(std::chrono::milliseconds time) { warmup_ = time; }
   /// Sets the members of a service at one balancer.
@@ -167,6 +174,10 @@
   void Deliver(InstanceAddress from, InstanceAddress to, const Bytes& datagram);
   void DeliverToSidecar(InstanceAddress from, int index, const Bytes& datagram,
                         bool backlog);
+  std::uint64_t DataCenterOf(int index) const {
+    if (data_centers_ == 1) return 0;
+    return static_cast<std::uint64_t>(1 + index % data_centers_);
+  }
   /// Handles an event of a sidecar's sockets, or keeps it while the process is
   /// suspended.
   void OnSidecarEvent(int index, std::function<void()> handle);
@@ -198,6 +209,8 @@
   std::map<int, std::deque<std::function<void()>>> suspended_sidecars_;
   std::map<int, std::uint8_t> frame_versions_;
   std::chrono::milliseconds warmup_{0};
+  int data_centers_ = 1;
+  std::function<void(int)> received_;
   std::uint64_t newest_version_ = 0;  ///< Of those given to any balancer.
   double loss_ = 0;
   int wrong_resets_ = 0;
