Warm-up limit: requests on flows that a new process has opened before its report

With a limit, flows whose last packet from the upstream is not older than the new process are its own: what is held of them stays.

--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -112,7 +112,24 @@
   std::vector<DroppedRequest> DropUnanswerable(TimePoint now,
                                                Duration service_time);
   /// The upstream has restarted: all slots are free, all requests are dropped.
-  std::vector<DroppedRequest> Reset(TimePoint now);
+  /// @param keeps whether the flow of a request is one of the new process, so
+  /// that the request stays.
+  template <typename Keeps>
+  std::vector<DroppedRequest> Reset(TimePoint now, const Keeps& keeps) {
+    std::vector<DroppedRequest> dropped;
+    for (auto entry = queue_.begin(); entry != queue_.end();) {
+      if (keeps(entry->first)) {
+        ++entry;
+        continue;
+      }
+      if (!entry->second.is_announced()) {
+        dropped.push_back(ToDropped(entry->second, now));
+      }
+      entry = Erase(entry);
+    }
+    slots_.Clear();
+    return dropped;
+  }
 
   /// @return what would become of a request that an upstream accepted now.
   AnswerForecast Forecast(const RequestTerms& terms, TimePoint since,
--- a/packages/scheduling/include/cowslip/scheduling/warm_up_limiter.h
+++ b/packages/scheduling/include/cowslip/scheduling/warm_up_limiter.h
@@ -55,6 +55,11 @@
     window_.OnEvent(last_given_);
   }
 
+  /// @return when the process of a report started, on the clock of `now`; `now`
+  /// if that is not known. No process starts after its report, although a clock
+  /// that was set may say so.
+  TimePoint StartOf(const Report& report, TimePoint now) const;
+
   RequestRate limit() const { return limit_; }
   /// @return whether the upstream is warming up; unless a report has told, it
   /// is.
--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -180,18 +180,6 @@
   return dropped;
 }
 
-std::vector<DroppedRequest> RequestScheduler::Reset(TimePoint now) {
-  std::vector<DroppedRequest> dropped;
-  for (const auto& [flow, request] : queue_) {
-    if (!request.is_announced()) dropped.push_back(ToDropped(request, now));
-  }
-  queue_.clear();
-  announced_ = 0;
-  bytes_ = 0;
-  slots_.Clear();
-  return dropped;
-}
-
 Duration RequestScheduler::AnswerTimeOf(std::size_t requests,
                                         Duration service_time) const {
   const std::size_t slots = slots_.slots();
--- a/packages/scheduling/src/warm_up_limiter.cc
+++ b/packages/scheduling/src/warm_up_limiter.cc
@@ -31,21 +31,21 @@
   const bool is_first = !cold_until_.has_value();
   cold_until_ = Counted(now) + report.warm_up_left;
   if (!is_first && !report.restarted) return;
-  const bool knows_start = report.started_at.count() > 0;
-  if (!knows_start && !report.restarted) return;
-  // Requests that it was given before this report count if it had started. The
-  // clock may have been set; no process starts after its report.
-  auto started = Counted(now);
-  if (knows_start) {
-    started = std::min(started, process_started_ + (report.started_at -
-                                                    process_started_of_day_));
-  }
+  if (report.started_at.count() == 0 && !report.restarted) return;
+  // Requests that it was given before this report count.
+  const auto started = Counted(StartOf(report, now));
   window_.ForgetBefore(started);
   if (report.restarted || started >= process_started_ - kMinRestartDelay) {
     window_.ForgetAssumption();
   }
 }
 
+TimePoint WarmUpLimiter::StartOf(const Report& report, TimePoint now) const {
+  if (report.started_at.count() == 0) return now;
+  const auto since = report.started_at - process_started_of_day_;
+  return std::min(now, process_started_ + since - suspended_);
+}
+
 Duration WarmUpLimiter::Wait(TimePoint now, std::size_t ahead) const {
   if (!IsLimiting(now)) return Duration::zero();
   const auto counted = Counted(now);
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -78,6 +78,10 @@
   /// @return those of them whose flows may have been open.
   std::uint64_t evicted_open() const { return evicted_open_; }
 
+  template <typename Visitor>
+  void ForEach(const Visitor& visit) {
+    for (auto& [flow, entry] : flows_) visit(entry);
+  }
   /// Removes expired entries. @param on_removed called for each of them.
   template <typename Dropped>
   void Expire(TimePoint now, const Dropped& on_removed) {
--- a/packages/segment/include/cowslip/segment/request_dispatcher.h
+++ b/packages/segment/include/cowslip/segment/request_dispatcher.h
@@ -146,6 +146,9 @@
                  TimePoint now);
   void EndAnnouncement(const FlowKey& flow, FlowEntry& entry);
   void Send(const scheduling::ReadyRequest& ready, TimePoint now, Outbox& out);
+  /// Notes which flows the new process of the upstream has opened before its
+  /// first report. Without a limit for its warm-up, they count as lost.
+  void AdoptFlows(TimePoint upstream_started);
   void OnDropped(const scheduling::DroppedRequest& dropped,
                  std::string_view reason);
   void DropUnanswerable(TimePoint now);
--- a/packages/segment/src/request_dispatcher.cc
+++ b/packages/segment/src/request_dispatcher.cc
@@ -195,14 +195,10 @@
                                                const Segment& segment,
                                                ByteView packet, TimePoint now) {
   const auto since = entry.first_request_since.value_or(now);
-  // The flow may have been opened after a restart and before the first report
-  // that tells of it, so its first request is limited like others.
-  const bool may_be_owned = entry.first_request_since.has_value() &&
-                            scheduler_.warm_up().IsLimiting(now);
   EndAnnouncement(segment.flow, entry);
   // An upstream that has restarted returns the packet at once, which resets the
   // flow.
-  if (entry.upstream_restarts != upstream_restarts_ && !may_be_owned) {
+  if (entry.upstream_restarts != upstream_restarts_) {
     entry.first_request_since.reset();
     return PacketOutcome::kSend;
   }
@@ -342,14 +338,30 @@
                                  TimePoint now) {
   load_.SetSlots(report.slots);
   scheduler_.SetSlots(report.slots);
-  scheduler_.warm_up().OnReport(
-      {report.started_at, report.warmup_left, restarted}, now);
+  auto& warm_up = scheduler_.warm_up();
+  const scheduling::WarmUpLimiter::Report start{report.started_at,
+                                                report.warmup_left, restarted};
+  warm_up.OnReport(start, now);
   if (!restarted) return;
   ++upstream_restarts_;
-  for (const auto& each : scheduler_.Reset(now)) {
+  if (warm_up.limit().is_limit()) AdoptFlows(warm_up.StartOf(start, now));
+  const auto is_of_new_process = [&](const FlowKey& flow) {
+    const auto* entry = flows_->Find(flow);
+    return entry != nullptr && entry->upstream_restarts == upstream_restarts_;
+  };
+  for (const auto& each : scheduler_.Reset(now, is_of_new_process)) {
     OnDropped(each, "upstream_restarted");
   }
   load_.Reset(now);
+  for (auto i = scheduler_.queued(); i > 0; --i) load_.OnRequestExpected();
+}
+
+void RequestDispatcher::AdoptFlows(TimePoint upstream_started) {
+  flows_->ForEach([&](FlowEntry& entry) {
+    if (entry.upstream_activity >= upstream_started) {
+      entry.upstream_restarts = upstream_restarts_;
+    }
+  });
 }
 
 std::uint32_t RequestDispatcher::Capacity(TimePoint now) const {
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -281,7 +281,9 @@
   fixture.Fill(kStart);
   fixture.Submit(1, kUrgent, kStart);
   fixture.scheduler.Announce(MakeFlow(2), kUrgent, kStart, kStart);
-  BOOST_TEST(fixture.scheduler.Reset(kStart).size() == 1U);
+  BOOST_TEST(
+      fixture.scheduler.Reset(kStart, [](const FlowKey&) { return false; })
+          .size() == 1U);
   BOOST_TEST(fixture.scheduler.queued() == 0U);
   BOOST_TEST(fixture.scheduler.bytes() == 0U);
   BOOST_TEST(fixture.scheduler.slots().taken() == 0U);
--- a/tests/segment/scheduling_failure_test.cc
+++ b/tests/segment/scheduling_failure_test.cc
@@ -452,10 +452,21 @@
   for (std::uint16_t port = 1; port <= 4; ++port) {
     host->Open(port, std::nullopt);
   }
+  // Held, and repeated after the report.
+  for (std::uint16_t port = 5; port <= 6; ++port) {
+    host->Open(port, std::nullopt);
+    host->Ask(port);
+  }
+  host->Open(7, std::nullopt);
+  BOOST_TEST(host->Ask(7).empty());
   host->Report("restarted", milliseconds(1000499));
+  BOOST_TEST(host->Ask(7).empty());
   for (std::uint16_t port = 1; port <= 4; ++port) {
-    BOOST_TEST(host->Ask(port).size() == (port <= 2 ? 1U : 0U));
+    BOOST_TEST(host->Ask(port).empty());
   }
+  BOOST_TEST(host->observer.drops == 0);
+  host->now += milliseconds(1001);
+  BOOST_TEST(host->Tick().size() == 1U);
 }
 
 // Guards against a limit that stays after it was removed, that reaches members
