--- a/packages/scheduling/src/request_scheduler.cc
+++ b/packages/scheduling/src/request_scheduler.cc
@@ -45,7 +45,8 @@
                                        TimePoint now) {
   if (IsWaiting(flow)) return Hold(flow, packet);
   Withdraw(flow);
-  if (slots_.HasRoom() && waiting() == 0) {
+  // With a limit, TakeNext() decides, which knows if the response is late.
+  if (slots_.HasRoom() && waiting() == 0 && !warm_up_.IsLimiting(now)) {
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -58,6 +59,7 @@
   const auto size = SizeOf(request);
   if (request.packets.bytes() > kMaxFlowBytes || bytes_ + size > kMaxBytes ||
       queue_.size() >= kMaxRequests) {
+    if (!CheckLimit(now)) return PacketOutcome::kNoMemory;
     Start(flow, terms, now);
     return PacketOutcome::kSend;
   }
@@ -84,28 +86,36 @@
 void RequestScheduler::Start(const FlowKey& flow, const RequestTerms& terms,
                              TimePoint now) {
   slots_.Take(flow, terms, now);
+  warm_up_.OnGiven(now);
+}
+
+bool RequestScheduler::CheckLimit(TimePoint now) {
+  if (warm_up_.Permits(now)) return true;
+  limited_at_ = now;
+  return false;
 }
 
 ReadyRequest RequestScheduler::Take(Queue::iterator entry, TimePoint now) {
   auto& request = entry->second;
   bytes_ -= SizeOf(request);
   ReadyRequest ready{request.flow, request.terms, now - request.arrival,
-                     request.packets.Take()};
+                     WaitedForLimit(request), request.packets.Take()};
   queue_.erase(entry);
-  slots_.Take(ready.flow, ready.terms, now);
+  Start(ready.flow, ready.terms, now);
   return ready;
 }
 
 std::optional<ReadyRequest> RequestScheduler::TakeNow(const FlowKey& flow,
                                                       TimePoint now) {
-  if (!IsWaiting(flow)) return std::nullopt;
+  if (!IsWaiting(flow) || !CheckLimit(now)) return std::nullopt;
   return Take(queue_.find(flow), now);
 }
 
 RequestScheduler::Queue::iterator RequestScheduler::FindNext(
-    const RequestOrder& order) {
+    const RequestOrder& order, bool takes_late) {
   const auto is_ready = [&](const QueuedRequest& request) {
-    return !request.is_announced() && order.CanBeAnswered(request);
+    return !request.is_announced() && order.CanBeAnswered(request) &&
+           (takes_late || order.CanMeetTarget(request));
   };
   auto first = queue_.end();
   for (auto entry = queue_.begin(); entry != queue_.end(); ++entry) {
@@ -129,16 +139,20 @@
 
 std::optional<ReadyRequest> RequestScheduler::TakeNext(TimePoint now,
                                                        Duration service_time) {
-  if (!slots_.HasRoom() || waiting() == 0) return std::nullopt;
-  const auto next = FindNext(RequestOrder(now, service_time));
-  if (next == queue_.end()) return std::nullopt;
-  return Take(next, now);
+  if (!slots_.HasRoom() || waiting() == 0 || !CheckLimit(now)) {
+    return std::nullopt;
+  }
+  const bool takes_late = warm_up_.PermitsLate(now);
+  const auto next = FindNext(RequestOrder(now, service_time), takes_late);
+  if (next != queue_.end()) return Take(next, now);
+  if (!takes_late) limited_at_ = now;
+  return std::nullopt;
 }
 
 DroppedRequest RequestScheduler::ToDropped(const QueuedRequest& request,
-                                           TimePoint now) {
+                                           TimePoint now) const {
   return {request.flow, request.terms, now - request.arrival,
-          request.packets.end_seq()};
+          WaitedForLimit(request), request.packets.end_seq()};
 }
 
 std::optional<DroppedRequest> RequestScheduler::Remove(const FlowKey& flow,
@@ -166,18 +180,6 @@
   return dropped;
 }
 
-std::vector<DroppedRequest> RequestScheduler::Reset(TimePoint now) {
-  std::vector<DroppedRequest> dropped;
-  for (const auto& [flow, request] : queue_) {
-    if (!request.is_announced()) dropped.push_back(ToDropped(request, now));
-  }
-  queue_.clear();
-  announced_ = 0;
-  bytes_ = 0;
-  slots_.Clear();
-  return dropped;
-}
-
 Duration RequestScheduler::AnswerTimeOf(std::size_t requests,
                                         Duration service_time) const {
   const std::size_t slots = slots_.slots();
@@ -196,17 +198,20 @@
                                 .arrival = now,
                                 .packets = {}};
   std::size_t ahead = slots_.taken();
+  std::size_t waiting_ahead = 0;
   std::vector<const QueuedRequest*> behind;
   const bool checks_displaced = queue_.size() <= kMaxForecastDepth;
   for (const auto& [flow, request] : queue_) {
     if (!order.Precedes(candidate, request)) {
       ++ahead;
+      ++waiting_ahead;
     } else if (checks_displaced) {
       behind.push_back(&request);
     }
   }
   AnswerForecast forecast;
-  forecast.answer_time = AnswerTimeOf(ahead + 1, service_time);
+  forecast.answer_time = AnswerTimeBehind(candidate, order, ahead,
+                                          waiting_ahead, now, service_time);
   const auto answer_at = now + forecast.answer_time;
   forecast.in_time = answer_at <= candidate.target_at();
   forecast.before_limit = answer_at <= since + terms.limit();
@@ -217,12 +222,17 @@
   bool displaces_more_urgent = false;
   bool displaces_other = false;
   for (const auto* request : behind) {
-    const auto before = now + AnswerTimeOf(ahead + 1, service_time);
-    const auto after = now + AnswerTimeOf(ahead + 2, service_time);
+    const auto before =
+        now + AnswerTimeBehind(*request, order, ahead, waiting_ahead, now,
+                               service_time);
+    const auto after =
+        now + AnswerTimeBehind(*request, order, ahead + 1, waiting_ahead + 1,
+                               now, service_time);
     const auto limit = request->since + request->terms.limit();
     // Will be dropped in any case, so it takes no slot.
     if (before > limit) continue;
     ++ahead;
+    ++waiting_ahead;
     const bool becomes_late =
         before <= request->target_at() && after > request->target_at();
     forecast.makes_late |= becomes_late;
@@ -236,13 +246,52 @@
 }
 
 std::uint32_t RequestScheduler::CapacityWithin(Duration time,
-                                               Duration service_time) const {
+                                               Duration service_time,
+                                               TimePoint now) const {
   const auto rounds = service_time > Duration::zero() ? time / service_time : 0;
   const auto possible = static_cast<std::uint64_t>(rounds) * slots_.slots();
   const auto present = slots_.taken() + queue_.size();
   if (possible <= present) return 0;
-  return static_cast<std::uint32_t>(
-      std::min<std::uint64_t>(possible - present, UINT32_MAX));
+  const auto by_slots = std::min<std::uint64_t>(possible - present, UINT32_MAX);
+  return std::min(static_cast<std::uint32_t>(by_slots),
+                  PermittedWithin(time - service_time, now));
+}
+
+std::uint32_t RequestScheduler::PermittedWithin(Duration time,
+                                                TimePoint now) const {
+  if (!warm_up_.IsLimiting(now)) return UINT32_MAX;
+  // The wait grows with the number of requests.
+  std::uint32_t low = 0;
+  std::uint32_t high = kMaxRequests;
+  while (low < high) {
+    const auto middle = low + (high - low) / 2;
+    if (warm_up_.Wait(now, queue_.size() + middle) <= time) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  return low;
+}
+
+Duration RequestScheduler::AnswerTimeBehind(const QueuedRequest& request,
+                                            const RequestOrder& order,
+                                            std::size_t ahead,
+                                            std::size_t waiting, TimePoint now,
+                                            Duration service_time) const {
+  const auto wait = order.CanMeetTarget(request)
+                        ? warm_up_.Wait(now, waiting)
+                        : warm_up_.WaitIfLate(now, waiting);
+  return std::max(AnswerTimeOf(ahead + 1, service_time), wait + service_time);
+}
+
+std::optional<TimePoint> RequestScheduler::NextPermitted(TimePoint now) const {
+  if (waiting() == 0 || !slots_.HasRoom()) return std::nullopt;
+  auto wait = warm_up_.Wait(now);
+  // Those that are in time have been taken.
+  if (wait == Duration::zero()) wait = warm_up_.WaitIfLate(now);
+  if (wait == Duration::zero()) return std::nullopt;
+  return now + wait;
 }
 
 }  // namespace cowslip::scheduling
--- a/packages/segment/include/cowslip/segment/flow_state_table.h
+++ b/packages/segment/include/cowslip/segment/flow_state_table.h
@@ -45,6 +45,9 @@
   /// RequestDispatcher::upstream_restarts() when the upstream had the flow.
   std::uint32_t upstream_restarts = 0;
   TimePoint last_activity{};  ///< Last packet of the flow.
+  TimePoint started{};        ///< Start of the record.
+  /// Last packet of the flow that the upstream sent.
+  TimePoint upstream_activity{};
 };
 
 /// Flows that a sidecar has seen, limited in size and in the age of its
@@ -76,6 +79,10 @@
   /// @return those of them whose flows may have been open.
   std::uint64_t evicted_open() const { return evicted_open_; }
 
+  template <typename Visitor>
+  void ForEach(const Visitor& visit) {
+    for (auto& [flow, entry] : flows_) visit(entry);
+  }
   /// Removes expired entries. @param on_removed called for each of them.
   template <typename Dropped>
   void Expire(TimePoint now, const Dropped& on_removed) {
--- a/packages/segment/src/sidecar.cc
+++ b/packages/segment/src/sidecar.cc
@@ -28,7 +28,7 @@
       service_(service),
       observer_(&observer),
       unseen_flows_(started),
-      requests_(flows_, stats_, observer) {}
+      requests_(flows_, stats_, observer, started) {}
 
 void Sidecar::UpdateConfigVersion(std::uint64_t config, TimePoint now) {
   if (config >= newest_config_) newest_config_in_use_ = true;
@@ -51,6 +51,7 @@
                       ByteView packet, TimePoint now, Outbox& out) {
   ++stats_.frames;
   UpdateConfigVersion(frame.config, now);
+  if (frame.service == service_) requests_.OnFrame(frame);
   if (segment.is_syn()) {
     ++stats_.openings;
     HandleSyn(frame, segment, packet, now, out);
@@ -168,7 +169,8 @@
       return;
     case Ownership::kUnknown:
       if (!frame.other_service &&
-          pending_queries_.size() < kMaxPendingQueries) {
+          pending_queries_.size() < kMaxPendingQueries &&
+          requests_.ClaimQuery(segment, now)) {
         QueryUpstream(frame, segment, packet, now, out);
         return;
       }
@@ -272,6 +274,7 @@
   const auto evicted = flows_.evicted_open();
   auto& entry = flows_.Start(flow, state, now);
   entry.upstream_restarts = requests_.upstream_restarts();
+  entry.started = now;
   if (flows_.evicted_open() != evicted) unseen_flows_.OnRecordLost(now);
   return entry;
 }
@@ -327,6 +330,7 @@
       entry != nullptr && (entry->state == FlowState::kEstablished ||
                            entry->state == FlowState::kClosed);
   if (owned) {
+    requests_.OnFlowLost(*entry, now);
     // The upstream owned the flow and has lost it in a restart. The caller's
     // next attempt needs an upstream that accepts connections.
     if (!upstream_ready()) {
@@ -369,6 +373,7 @@
 
 void Sidecar::OnTick(TimePoint now, Outbox& out) {
   presence_.OnTick(now);
+  if (presence_.is_silent()) requests_.OnMayHaveRestarted();
   EndQueries(now, out);
   while (!pending_syns_.empty() && now >= pending_syns_.front().due) {
     auto pending_syn = pending_syns_.front();
@@ -382,6 +387,7 @@
     const bool was_open = upstream_state_.open();
     upstream_state_.OnUnanswered();
     if (was_open && !upstream_state_.open()) {
+      requests_.OnMayHaveRestarted();
       LogDecision("upstream_silent", "openings_unanswered", pending_syn.flow,
                   pending_syn.frame);
     }
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -281,7 +281,9 @@
   fixture.Fill(kStart);
   fixture.Submit(1, kUrgent, kStart);
   fixture.scheduler.Announce(MakeFlow(2), kUrgent, kStart, kStart);
-  BOOST_TEST(fixture.scheduler.Reset(kStart).size() == 1U);
+  BOOST_TEST(
+      fixture.scheduler.Reset(kStart, [](const FlowKey&) { return false; })
+          .size() == 1U);
   BOOST_TEST(fixture.scheduler.queued() == 0U);
   BOOST_TEST(fixture.scheduler.bytes() == 0U);
   BOOST_TEST(fixture.scheduler.slots().taken() == 0U);
@@ -352,14 +354,14 @@
 
 BOOST_AUTO_TEST_CASE(CapacityIsWhatTimeLimitsAllow) {
   Fixture fixture(2);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService) ==
-             10U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService,
+                                              kStart) == 10U);
   fixture.Fill(kStart);
   fixture.Submit(1, kOther, kStart);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService) ==
-             6U);
-  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(39), kService) ==
-             0U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(200), kService,
+                                              kStart) == 6U);
+  BOOST_TEST(fixture.scheduler.CapacityWithin(milliseconds(39), kService,
+                                              kStart) == 0U);
 }
 
 }  // namespace cowslip::scheduling
