A caller alone is not sent to a dead owner five times

Cause (answers_test, UpstreamDiesInTheMiddle): a balancer probed an upstream without an answer only when it sent it a second frame. With two members of one service there is no death record, so each balancer has to find out by itself. A caller alone retransmits at doubling intervals through any of three balancers; its five transmissions can all reach balancers that don't know yet.

Change: balancers probe after a single unanswered frame, without further traffic. Sidecars don't, as they get no answer to a frame that they forward.

RetransmissionIsNotSentToAnUnresponsiveUpstream and SingleUnansweredFrameLeadsToProbes fail before.

The probes change the random schedule of walk_test.

--- a/packages/engine/include/cowslip/engine/balancer.h
+++ b/packages/engine/include/cowslip/engine/balancer.h
@@ -21,7 +21,8 @@
   std::size_t hint_capacity = 1 << 19;  ///< Entries of the hint cache.
   /// When an upstream that does not answer is probed and then skipped.
   flow::FailureDetectorOptions failure_detector{
-      std::chrono::milliseconds(100), std::chrono::milliseconds(50), 8};
+      std::chrono::milliseconds(100), std::chrono::milliseconds(50), 8,
+      /*probe_single_frames=*/true};
 };
 
 /// A datagram of a caller, as received on the address of a service.
--- a/packages/flow/include/cowslip/flow/contact_table.h
+++ b/packages/flow/include/cowslip/flow/contact_table.h
@@ -15,6 +15,9 @@
   Duration probe_after{};
   Duration probe_interval{};  ///< Interval of the probes.
   int max_probes = 1;  ///< An upstream with more unanswered probes is skipped.
+  /// Probes also after a single unanswered frame, without further traffic. For
+  /// a process that gets the answers to its frames.
+  bool probe_single_frames = false;
 };
 
 /// Failure detector: finds the upstreams that do not respond, from the frames
@@ -24,6 +27,11 @@
 /// a datagram service may be one-way. The probes are sent at an interval, not
 /// with the traffic, and a number of them must stay unanswered, so that neither
 /// lost probes nor a pause of this process make an upstream unresponsive.
+///
+/// Load pattern of probe_single_frames: a caller alone retransmits at doubling
+/// intervals, through any balancer, and gives up after five transmissions. If
+/// each balancer needs two of them to find out that the owner of the flow is
+/// dead, none arrives elsewhere.
 class FailureDetector {
  public:
   explicit FailureDetector(const FailureDetectorOptions& options)
@@ -36,7 +44,7 @@
   void OnResponse(UpstreamId upstream);
   /// @return whether the upstream is unresponsive.
   bool IsUnresponsive(UpstreamId upstream) const;
-  /// @return the upstreams to which a further probe must be sent now. The
+  /// @return the upstreams to which a probe must be sent now. The
   ///     reference is valid until the next call.
   const std::vector<UpstreamId>& TakeDueProbes(TimePoint now);
   /// Removes an upstream that has left or restarted.
@@ -46,15 +54,17 @@
   struct State {
     std::optional<TimePoint> unanswered_since;  ///< First unanswered frame.
     TimePoint last_probe{};
-    int probes = 0;  ///< Sent since the last answer.
+    int probes = 0;          ///< Sent since the last answer.
+    bool suspected = false;  ///< Listed in suspects_.
   };
 
   bool TakeProbe(State& state, TimePoint now) const;
 
   FailureDetectorOptions options_;
   std::unordered_map<UpstreamId, State> states_;
-  std::vector<UpstreamId> suspects_;  ///< Probed, but not yet unresponsive.
-  std::vector<UpstreamId> due_;       ///< Result of TakeDueProbes().
+  /// Have unanswered frames, but are not yet unresponsive.
+  std::vector<UpstreamId> suspects_;
+  std::vector<UpstreamId> due_;  ///< Result of TakeDueProbes().
 };
 
 }  // namespace cowslip::flow
--- a/packages/flow/src/contact_table.cc
+++ b/packages/flow/src/contact_table.cc
@@ -14,14 +14,23 @@
 bool FailureDetector::OnSent(UpstreamId upstream, TimePoint now) {
   auto& state = states_[upstream];
   if (!state.unanswered_since) state.unanswered_since = now;
-  if (now - *state.unanswered_since < options_.probe_after) return false;
-  if (state.probes == 0) suspects_.push_back(upstream);
+  const bool is_late = now - *state.unanswered_since >= options_.probe_after;
+  const bool is_suspect = (is_late || options_.probe_single_frames) &&
+                          state.probes <= options_.max_probes;
+  if (is_suspect && !state.suspected) {
+    state.suspected = true;
+    suspects_.push_back(upstream);
+  }
+  if (!is_late) return false;
   return TakeProbe(state, now);
 }
 
 void FailureDetector::OnResponse(UpstreamId upstream) {
   const auto found = states_.find(upstream);
-  if (found != states_.end()) found->second = {};
+  if (found == states_.end()) return;
+  const bool suspected = found->second.suspected;
+  found->second = {};
+  found->second.suspected = suspected;
 }
 
 bool FailureDetector::IsUnresponsive(UpstreamId upstream) const {
@@ -35,8 +44,12 @@
     const auto found = states_.find(id);
     if (found == states_.end()) return true;
     auto& state = found->second;
-    if (state.probes == 0 || state.probes > options_.max_probes) return true;
-    if (TakeProbe(state, now)) due_.push_back(id);
+    if (!state.unanswered_since || state.probes > options_.max_probes) {
+      state.suspected = false;
+      return true;
+    }
+    const bool is_late = now - *state.unanswered_since >= options_.probe_after;
+    if (is_late && TakeProbe(state, now)) due_.push_back(id);
     return false;
   });
   return due_;
--- a/tests/balancer_test.cc
+++ b/tests/balancer_test.cc
@@ -59,6 +59,17 @@
   BOOST_TEST((*later_target != *first_target));
 }
 
+// Guards against a caller whose five transmissions are all sent to a dead
+// owner, as each balancer gets one or two of them (answers_test, seed 45).
+BOOST_AUTO_TEST_CASE(RetransmissionIsNotSentToAnUnresponsiveUpstream) {
+  auto balancer = MakeBalancer(2);
+  const auto first_target = Send(balancer, kStart);
+  const auto now = TickFor(balancer, kStart, milliseconds(1000));
+  const auto later_target = Send(balancer, now);
+  BOOST_REQUIRE(later_target);
+  BOOST_TEST((later_target != first_target));
+}
+
 BOOST_AUTO_TEST_CASE(DatagramIsStillSentWhenAllUpstreamsAreUnresponsive) {
   auto balancer = MakeBalancer(1);
   Send(balancer, kStart);
--- a/tests/flow_test.cc
+++ b/tests/flow_test.cc
@@ -40,6 +40,24 @@
   BOOST_TEST(detector.IsUnresponsive(kUpstream));
 }
 
+// A caller alone retransmits at doubling intervals, spread over the balancers.
+// Guards against frames that are lost on each of them until its second one.
+BOOST_AUTO_TEST_CASE(SingleUnansweredFrameLeadsToProbes) {
+  auto limits = kLimits;
+  limits.probe_single_frames = true;
+  for (const bool answered : {false, true}) {
+    FailureDetector detector(limits);
+    detector.OnSent(kUpstream, kStart);
+    std::size_t probes = 0;
+    for (int i = 1; i <= 100; ++i) {
+      if (answered && i == 5) detector.OnResponse(kUpstream);
+      probes += detector.TakeDueProbes(kStart + i * milliseconds(10)).size();
+    }
+    BOOST_TEST(detector.IsUnresponsive(kUpstream) == !answered);
+    BOOST_TEST(probes == (answered ? 0U : 9U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(PauseOfTheUpstreamOrOfThisProcessIsTolerated) {
   // The upstream pauses for 300 ms and then answers all probes.
   FailureDetector detector(kLimits);
