Sidecar: claims on the queue with the shortest wait

Cause: when all slots are in use, requests that search at the same time find the same shortest queue and all join it. In the trace of custody, 393 of 1260 waits over 8 ms are in a queue that is not the shortest. Change: the upstream with the shortest wait so far of a search counts the request as queued for 2 ms (QueueClaims), in the expected wait only.

--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -12,6 +12,7 @@
 #include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/queue_claims.h"
 #include "cowslip/engine/redirect_resend_queue.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
@@ -279,6 +280,7 @@
   TransferTable transfers_;
   DelegatedFlowQueue delegated_flows_;
   ServiceTimeTable service_times_;
+  QueueClaims claims_;
   std::size_t delegated_count_ = 0;
   RetryBudget retry_budget_;
   /// No new work until then, because the upstream refused a datagram.
--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -55,7 +55,10 @@
 ///     offload it.
 bool Sidecar::HasCapacity(const Frame& frame, TimePoint now) {
   if (!AcceptsNewWork()) return false;
-  if (frame.header.Has(link::kFlagMustAccept)) return true;
+  if (frame.header.Has(link::kFlagMustAccept)) {
+    claims_.Use(now);
+    return true;
+  }
   return admission_.Decide(now) == flow::AdmissionDecision::kAdmit;
 }
 
@@ -68,12 +71,14 @@
   if (header.Has(link::kFlagMustAccept)) return nullptr;
   service_times_.Update(options_.id, ServiceTime());
   const bool can_accept = AcceptsNewWork() && (delegated || !IsAtFlowLimit());
-  const auto wait = ToMicroseconds(admission_.ExpectedWait(now));
+  const auto wait =
+      ToMicroseconds(admission_.ExpectedWait(now, claims_.Count(now)));
   auto& least = header.least_loaded;
   if (!header.Has(link::kFlagOffloaded)) least = {};
   if (can_accept &&
       (least.upstream == UpstreamId{} || wait < least.expected_wait_us)) {
     least = {options_.id, wait};
+    claims_.Add(now);
   }
   const auto visits = header.visited.ids().size() + 1;
   const auto* next = FastestUnvisited(header);
@@ -83,7 +88,10 @@
       next != nullptr && visits < kMaxVisitedUpstreams && !has_free_slot;
   if (search_further) return next;
   header.flags |= link::kFlagMustAccept;
-  if (least.upstream == options_.id) return nullptr;
+  if (least.upstream == options_.id) {
+    claims_.Use(now);
+    return nullptr;
+  }
   return service_->Find(least.upstream);
 }
 
--- a/packages/flow/include/cowslip/flow/admission.h
+++ b/packages/flow/include/cowslip/flow/admission.h
@@ -69,8 +69,10 @@
   std::uint32_t usable_slots(TimePoint now) const;
   /// @return the estimated mean time that a request occupies a slot.
   Duration service_time() const { return service_time_; }
+  /// @param claims further requests that are expected before this one. They
+  ///     count only if all slots are in use.
   /// @return the estimated time until a further request would get a slot.
-  Duration ExpectedWait(TimePoint now);
+  Duration ExpectedWait(TimePoint now, std::uint32_t claims = 0);
 
  private:
   void AddSample(Duration sample);
--- a/packages/flow/src/admission.cc
+++ b/packages/flow/src/admission.cc
@@ -86,13 +86,14 @@
   }
 }
 
-Duration AdmissionController::ExpectedWait(TimePoint now) {
+Duration AdmissionController::ExpectedWait(TimePoint now,
+                                           std::uint32_t claims) {
   const auto total = load(now);
   const auto slots = usable_slots(now);
   if (total < slots) return {};
   const auto mean = service_time_ == Duration{} ? Duration(kInitialServiceTime)
                                                 : service_time_;
-  return mean * (total - slots + 1) / slots;
+  return mean * (total + claims - slots + 1) / slots;
 }
 
 }  // namespace cowslip::flow
