Experiments: mean time from arrival to the end of the processing

Cause: a policy that prefers faster upstreams costs hops and saves processing time; waits alone do not show which is more. Change: cowslip-experiment balance prints the mean total time of the engine run.

--- a/experiments/baselines.h
+++ b/experiments/baselines.h
@@ -93,7 +93,8 @@
       continue;
     }
     const auto service = model.Add(job, job.arrival);
-    result.served.push_back({job.arrival, service.wait, service.wait});
+    result.served.push_back({job.arrival, service.wait, service.wait,
+                             service.finish - job.arrival});
   }
   for (const auto& model : models) {
     result.capacity.push_back(model.speed());
--- a/experiments/engine_run.cc
+++ b/experiments/engine_run.cc
@@ -205,8 +205,9 @@
   }
   const auto& job = workload_.jobs[FromToken(request->token)];
   const auto service = models_[Raw(id) - 1].Add(job, Elapsed());
-  result_.served.push_back(
-      {job.arrival, service.wait, Elapsed() - job.arrival + service.wait});
+  result_.served.push_back({job.arrival, service.wait,
+                            Elapsed() - job.arrival + service.wait,
+                            service.finish - job.arrival});
   const auto cause = wait_causes_.extract(FromToken(request->token));
   result_.trace.Add(cause ? cause.mapped() : WaitCause::kNoPermit,
                     service.wait);
--- a/experiments/main.cc
+++ b/experiments/main.cc
@@ -96,14 +96,15 @@
   if (oracle == Duration{}) return;
   std::printf("p99 wait of cowslip balance over the oracle: %.2f\n",
               std::chrono::duration<double>(balance) / oracle);
-  const auto milliseconds = [&](double quantile) {
-    return std::chrono::duration<double, std::milli>(
-               results[kBalanceIndex].Delay(quantile))
-        .count();
+  const auto milliseconds = [](Duration time) {
+    return std::chrono::duration<double, std::milli>(time).count();
   };
-  std::printf("from arrival to processing, ms: p50 %.2f, p99 %.2f\n%s",
-              milliseconds(0.5), milliseconds(0.99),
-              results[kBalanceIndex].trace.Table().c_str());
+  const auto& result = results[kBalanceIndex];
+  std::printf(
+      "from arrival to processing, ms: p50 %.2f, p99 %.2f; to its end, mean: "
+      "%.2f\n%s",
+      milliseconds(result.Delay(0.5)), milliseconds(result.Delay(0.99)),
+      milliseconds(result.MeanTotal()), result.trace.Table().c_str());
 }
 
 std::vector<Group> Balance(const Options& options,
--- a/experiments/result.cc
+++ b/experiments/result.cc
@@ -41,6 +41,13 @@
   return WaitBetween(quantile, {}, Duration::max());
 }
 
+Duration Result::MeanTotal() const {
+  Duration sum{};
+  for (const auto& job : served) sum += job.total;
+  if (served.empty()) return {};
+  return sum / static_cast<std::int64_t>(served.size());
+}
+
 Duration Result::WaitBetween(double quantile, Duration from,
                              Duration to) const {
   std::vector<Duration> waits;
--- a/experiments/result.h
+++ b/experiments/result.h
@@ -14,6 +14,7 @@
   Duration arrival{};
   Duration wait{};   ///< In the queue of the upstream.
   Duration delay{};  ///< From the arrival to the start of its processing.
+  Duration total{};  ///< From the arrival to the end of its processing.
 };
 
 /// Result of one policy on one workload. Without units: numbers of requests.
@@ -42,6 +43,8 @@
   /// @return the quantile of the time from arrival to processing, which
   /// includes hops and challenges.
   Duration Delay(double quantile) const;
+  /// @return the mean time from arrival to the end of the processing.
+  Duration MeanTotal() const;
   /// Like Wait(), for the requests that arrived from `from` until before `to`.
   Duration WaitBetween(double quantile, Duration from, Duration to) const;
 };
