Balancer: hints on free slots in caller datagrams

Cause: an owner with a free slot runs its requests itself, also on a slow upstream while a faster one is free, and searches blindly otherwise. Change: replies carry the number of the sender's free slots. A balancer gives each of these slots to one caller datagram as a hint (FreeSlotTable), if it is much faster than the owner or the owner is full. With prefer: balance the owner delegates a request to it; the upstream evaluates its load as before. No new bytes; earlier builds ignore the fields.

--- a/packages/engine/include/cowslip/engine/balancer.h
+++ b/packages/engine/include/cowslip/engine/balancer.h
@@ -7,6 +7,7 @@
 #include "cowslip/engine/balancer_effects.h"
 #include "cowslip/engine/counters.h"
 #include "cowslip/engine/engine_error.h"
+#include "cowslip/engine/free_slot_table.h"
 #include "cowslip/engine/hello_scheduler.h"
 #include "cowslip/flow.h"
 #include "cowslip/link.h"
@@ -80,6 +81,7 @@
   BalancerOptions options_;
   membership::ViewPtr view_;
   flow::HintCache hints_;
+  FreeSlotTable free_slots_;
   flow::FailureDetector detector_;
   HelloScheduler hellos_;
   std::unique_ptr<Counters> counters_;
--- a/packages/engine/include/cowslip/engine/service_time_table.h
+++ b/packages/engine/include/cowslip/engine/service_time_table.h
@@ -7,6 +7,13 @@
 
 namespace cowslip::engine {
 
+/// @return whether a mean service time is much shorter than another one. False
+///     if one of them is 0, unknown.
+inline bool IsMuchFaster(std::uint32_t service_time, std::uint32_t than) {
+  constexpr double kMaxRatio = 0.7;
+  return service_time != 0 && than != 0 && service_time <= than * kMaxRatio;
+}
+
 /// The mean service time of each upstream of a service, as reported by its
 /// sidecar in the header of every frame.
 class ServiceTimeTable {
--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -247,12 +247,18 @@
   std::uint32_t ServiceTime() const;
   bool IsFaster(UpstreamId upstream, UpstreamId than) const;
   const Upstream* FastestUnvisited(const link::FrameHeader& header);
+  bool CanOffloadTo(const link::FrameHeader& header, const Upstream& upstream);
   bool HasCapacity(const link::Frame& frame, TimePoint now);
   const Upstream* ChooseOffloadTarget(link::FrameHeader& header, bool delegated,
                                       TimePoint now);
   bool Offload(const link::Frame& frame, std::uint8_t extra_flags,
                TimePoint now, SidecarEffects& effects);
 
+  // Hints on free slots: sidecar_hints.cc.
+  link::LeastLoaded FreeSlotReport();
+  const Upstream* HintedUpstream(const link::FrameHeader& header);
+  bool PrefersHint(const link::FrameHeader& header);
+
   // Frames: sidecar_frames.cc.
   void ResetRestartedUpstreams(const membership::ServiceView* old_service);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
--- a/packages/engine/src/balancer.cc
+++ b/packages/engine/src/balancer.cc
@@ -23,7 +23,10 @@
 
 void Balancer::OnView(membership::ViewPtr view) {
   view_ = std::move(view);
-  hellos_.OnView(*view_, [&](UpstreamId id) { detector_.Remove(id); });
+  hellos_.OnView(*view_, [&](UpstreamId id) {
+    detector_.Remove(id);
+    free_slots_.Remove(id);
+  });
 }
 
 void Balancer::OnTick(TimePoint now, BalancerEffects& effects) {
@@ -105,6 +108,8 @@
     ProbeIfDue(*service, *unresponsive, now, effects);
   }
   header.flow = datagram.flow;
+  header.least_loaded.upstream =
+      free_slots_.Take(service->service.id, upstream->id, now);
   effects.frames.push_back({upstream->sidecar, header, datagram.payload});
   ProbeIfDue(*service, *upstream, now, effects);
 }
@@ -142,6 +147,12 @@
     }
     return;
   }
+  // Sidecars of earlier builds report nothing.
+  if (header.least_loaded.upstream == UpstreamId(header.sender)) {
+    free_slots_.Update(header.service, UpstreamId(header.sender),
+                       header.least_loaded.expected_wait_us,
+                       header.service_time_us, now);
+  }
   if (!header.Has(link::kFlagDelegated)) {
     hints_.Insert(header.flow, HashFlow(header.flow), UpstreamId(header.sender),
                   now);
--- a/packages/engine/src/sidecar_frames.cc
+++ b/packages/engine/src/sidecar_frames.cc
@@ -100,6 +100,7 @@
   const auto& flow = flows_.At(slot);
   auto header = MakeHeader(FrameKind::kReply);
   header.flow = flow.key;
+  header.least_loaded = FreeSlotReport();
   if (flow.delegated) header.flags |= link::kFlagDelegated;
   counters_->Add(Counter::kRepliesSent);
   replies_.Send(header, payload, flow.balancer, reliable, now_, effects);
--- a/packages/engine/src/sidecar_load.cc
+++ b/packages/engine/src/sidecar_load.cc
@@ -8,9 +8,6 @@
 
 /// Upstreams that a request may visit in search of a free slot.
 constexpr std::size_t kMaxVisitedUpstreams = 8;
-/// An upstream counts as faster than another one if its mean service time is at
-/// most this share of the other's.
-constexpr double kFasterRatio = 0.7;
 
 std::uint32_t ToMicroseconds(Duration duration) {
   const auto count =
@@ -29,10 +26,18 @@
 }
 
 bool Sidecar::IsFaster(UpstreamId upstream, UpstreamId than) const {
-  const auto upstream_time = service_times_.Find(upstream);
-  const auto reference_time = service_times_.Find(than);
-  return upstream_time != 0 && reference_time != 0 &&
-         upstream_time <= reference_time * kFasterRatio;
+  return IsMuchFaster(service_times_.Find(upstream), service_times_.Find(than));
+}
+
+/// @return whether a frame can be forwarded to an upstream in search of a free
+///     slot.
+bool Sidecar::CanOffloadTo(const FrameHeader& header,
+                           const Upstream& upstream) {
+  return upstream.id != options_.id &&
+         upstream.state == UpstreamState::kActive &&
+         !header.visited.Contains(upstream.id) &&
+         !detector_.IsUnresponsive(upstream.id) &&
+         !membership_.ShouldAvoid(upstream.id, now_);
 }
 
 /// @return the fastest active upstream that the frame has not visited, on a tie
@@ -40,12 +45,7 @@
 const Upstream* Sidecar::FastestUnvisited(const FrameHeader& header) {
   const Upstream* best = nullptr;
   for (const auto* upstream : RankedUpstreams(header.flow)) {
-    const bool eligible = upstream->id != options_.id &&
-                          upstream->state == UpstreamState::kActive &&
-                          !header.visited.Contains(upstream->id) &&
-                          !detector_.IsUnresponsive(upstream->id) &&
-                          !membership_.ShouldAvoid(upstream->id, now_);
-    if (!eligible) continue;
+    if (!CanOffloadTo(header, *upstream)) continue;
     if (best == nullptr || IsFaster(upstream->id, best->id)) best = upstream;
   }
   return best;
@@ -63,8 +63,8 @@
 }
 
 /// Compares the expected wait at this upstream with the least of those visited
-/// before, and chooses the next upstream: an unvisited one, or in the end the
-/// one with the least wait.
+/// before, and chooses the next upstream: first the one that a hint names, then
+/// an unvisited one, or in the end the one with the least wait.
 /// @return nullptr if this upstream has to accept or shed the work.
 const Upstream* Sidecar::ChooseOffloadTarget(FrameHeader& header,
                                              bool delegated, TimePoint now) {
@@ -73,6 +73,8 @@
   const bool can_accept = AcceptsNewWork() && (delegated || !IsAtFlowLimit());
   const auto wait =
       ToMicroseconds(admission_.ExpectedWait(now, claims_.Count(now)));
+  const auto* hinted = HintedUpstream(header);
+  const bool prefers_hint = delegated && PrefersHint(header);
   auto& least = header.least_loaded;
   if (!header.Has(link::kFlagOffloaded)) least = {};
   if (can_accept &&
@@ -81,11 +83,12 @@
     claims_.Add(now);
   }
   const auto visits = header.visited.ids().size() + 1;
-  const auto* next = FastestUnvisited(header);
+  const auto* next = hinted != nullptr ? hinted : FastestUnvisited(header);
   const bool has_free_slot =
       least.upstream != UpstreamId{} && least.expected_wait_us == 0;
-  const bool search_further =
-      next != nullptr && visits < kMaxVisitedUpstreams && !has_free_slot;
+  const bool search_further = next != nullptr &&
+                              visits < kMaxVisitedUpstreams &&
+                              (prefers_hint || !has_free_slot);
   if (search_further) return next;
   header.flags |= link::kFlagMustAccept;
   if (least.upstream == options_.id) {
--- a/packages/engine/src/sidecar_requests.cc
+++ b/packages/engine/src/sidecar_requests.cc
@@ -140,7 +140,7 @@
 void Sidecar::OnUnpermitted(flow::FlowSlot slot, const Message& request,
                             const Frame& frame, TimePoint now,
                             SidecarEffects& effects) {
-  if (!HasCapacity(frame, now) &&
+  if ((!HasCapacity(frame, now) || PrefersHint(frame.header)) &&
       Offload(frame, link::kFlagDelegated | link::kFlagLookupDone, now,
               effects)) {
     counters_->Add(Counter::kRequestsPassedOn);
--- a/packages/link/include/cowslip/link/frame.h
+++ b/packages/link/include/cowslip/link/frame.h
@@ -41,7 +41,9 @@
 
 /// The upstream with the shortest expected wait among those that offloaded a
 /// frame. On an indirect probe and its reply: the subject and the round of the
-/// failure confirmation.
+/// failure confirmation. On a reply: the sender, and in place of a wait the
+/// number of its free slots. On a balancer's kCallerData: a hint, the upstream
+/// that probably has a free slot.
 struct LeastLoaded {
   UpstreamId upstream{};
   std::uint32_t expected_wait_us = 0;  ///< Of that upstream.
@@ -63,7 +65,7 @@
   /// the incarnation of the subject.
   std::uint64_t sequence = 0;
   VisitedList visited;
-  LeastLoaded least_loaded;  ///< Valid if the frame was offloaded.
+  LeastLoaded least_loaded;  ///< All 0 if the sender knows none.
   /// Mean service time of the sending upstream in microseconds, 0 if unknown.
   std::uint32_t service_time_us = 0;
 
