--- a/packages/engine/include/cowslip/engine/sidecar.h
+++ b/packages/engine/include/cowslip/engine/sidecar.h
@@ -12,6 +12,7 @@
 #include "cowslip/engine/guest_list.h"
 #include "cowslip/engine/member_role.h"
 #include "cowslip/engine/observation_table.h"
+#include "cowslip/engine/queue_claims.h"
 #include "cowslip/engine/redirect_resend_queue.h"
 #include "cowslip/engine/reply_path.h"
 #include "cowslip/engine/request_table.h"
@@ -246,12 +247,18 @@
   std::uint32_t ServiceTime() const;
   bool IsFaster(UpstreamId upstream, UpstreamId than) const;
   const Upstream* FastestUnvisited(const link::FrameHeader& header);
+  bool CanOffloadTo(const link::FrameHeader& header, const Upstream& upstream);
   bool HasCapacity(const link::Frame& frame, TimePoint now);
   const Upstream* ChooseOffloadTarget(link::FrameHeader& header, bool delegated,
                                       TimePoint now);
   bool Offload(const link::Frame& frame, std::uint8_t extra_flags,
                TimePoint now, SidecarEffects& effects);
 
+  // Hints on free slots: sidecar_hints.cc.
+  link::LeastLoaded FreeSlotReport();
+  const Upstream* HintedUpstream(const link::FrameHeader& header);
+  bool PrefersHint(const link::FrameHeader& header);
+
   // Frames: sidecar_frames.cc.
   void ResetRestartedUpstreams(const membership::ServiceView* old_service);
   link::FrameHeader MakeHeader(link::FrameKind kind) const;
@@ -279,6 +286,7 @@
   TransferTable transfers_;
   DelegatedFlowQueue delegated_flows_;
   ServiceTimeTable service_times_;
+  QueueClaims claims_;
   std::size_t delegated_count_ = 0;
   RetryBudget retry_budget_;
   /// No new work until then, because the upstream refused a datagram.
