--- a/packages/outlier/include/cowslip/outlier.h
+++ b/packages/outlier/include/cowslip/outlier.h
@@ -11,4 +11,5 @@
 #include "cowslip/outlier/response_report.h"      // IWYU pragma: export
 #include "cowslip/outlier/response_statistics.h"  // IWYU pragma: export
 #include "cowslip/outlier/trial_schedule.h"       // IWYU pragma: export
+#include "cowslip/outlier/typical_time.h"         // IWYU pragma: export
 #include "cowslip/outlier/usual_size.h"           // IWYU pragma: export
--- a/packages/outlier/include/cowslip/outlier/response_statistics.h
+++ b/packages/outlier/include/cowslip/outlier/response_statistics.h
@@ -7,6 +7,7 @@
 #include "cowslip/cost.h"
 #include "cowslip/outlier/aged_weight.h"
 #include "cowslip/outlier/response_report.h"
+#include "cowslip/outlier/typical_time.h"
 #include "cowslip/outlier/usual_size.h"
 
 namespace cowslip::outlier {
@@ -19,14 +20,11 @@
 /// slower. Errors are quick, so by its waiting time it looks like the best one.
 class ResponseStatistics {
  public:
-  /// Requests that have to be known of an address before its share and time are
-  /// reported.
-  static constexpr double kMinRequests = 8;
+  /// Requests that have to be known of an address before its share is reported.
+  static constexpr std::uint64_t kMinRequests = 8;
   /// Answered requests that are assumed in addition. Without them, one failure
   /// among the last eight requests would exceed the least share of an outlier.
   static constexpr double kAssumedAnswered = 10;
-  /// Longest time that is counted; a longer one is counted as this.
-  static constexpr std::chrono::seconds kMaxTime{60};
 
   /// The first byte of a response arrived this long after its request had got a
   /// slot of the upstream.
@@ -54,11 +52,8 @@
     /// 1 for each failed request, 0 for others. Few old ones are kept, so that
     /// an upstream that has recovered is not judged by them.
     AgedWeight failed{4};
-    /// Times until the first byte. The mean of fewer samples of a distribution
-    /// with a long tail is noise.
-    AgedWeight log_seconds{16};
+    TypicalTime time;
     std::uint64_t requests = 0;
-    std::uint64_t times = 0;
     UsualSize size;
   };
 
--- a/packages/outlier/src/outlier_detector.cc
+++ b/packages/outlier/src/outlier_detector.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "cowslip/outlier/peer_median.h"
-#include "cowslip/outlier/response_statistics.h"
+#include "cowslip/outlier/typical_time.h"
 
 namespace cowslip::outlier {
 namespace {
@@ -14,7 +14,7 @@
 
 /// Longest response time that is compared. A report beyond it is a fault of its
 /// sender.
-constexpr Duration kMaxTime = ResponseStatistics::kMaxTime;
+constexpr Duration kMaxTime = TypicalTime::kMaxTime;
 /// Share above which there was a failure lately: a tenth of one request of 40.
 constexpr double kAnyFailure = 0.0025;
 constexpr Duration kMinTime = std::chrono::microseconds(1);
--- a/packages/outlier/src/response_statistics.cc
+++ b/packages/outlier/src/response_statistics.cc
@@ -1,26 +1,11 @@
 #include "cowslip/outlier/response_statistics.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cowslip::outlier {
-namespace {
-
-using Seconds = std::chrono::duration<double>;
-
-constexpr std::chrono::microseconds kMinTime{1};
-
-}  // namespace
-
-/// The times are averaged by their logarithms: three in a hundred requests that
-/// cost seven times the mean change the arithmetic mean of 36 requests by a
-/// sixth of it from one second to the next, this mean by a twentieth.
 void ResponseStatistics::OnFirstByte(const Endpoint& address, Duration time,
                                      TimePoint now) {
-  const auto limited = std::clamp<Duration>(time, kMinTime, kMaxTime);
-  auto& service = services_.FindOrAdd(address);
-  service.log_seconds.Add(std::log2(Seconds(limited).count()), now);
-  ++service.times;
+  services_.FindOrAdd(address).time.Add(time, now);
 }
 
 bool ResponseStatistics::IsSuspicious(const Endpoint& address,
@@ -62,11 +47,7 @@
     report.failure_share = service->failed.SumAt(now) /
                            (service->failed.WeightAt(now) + kAssumedAnswered);
   }
-  if (service->times >= kMinRequests) {
-    report.response_time = std::chrono::duration_cast<Duration>(
-        Seconds(std::exp2(service->log_seconds.Mean() -
-                          service->log_seconds.StandardError())));
-  }
+  report.response_time = service->time.Get();
   return report;
 }
 
--- a/tests/segment/response_report_test.cc
+++ b/tests/segment/response_report_test.cc
@@ -76,7 +76,7 @@
   }
   /// The upstream answers some requests as usual.
   void Warm() {
-    for (std::uint16_t port = 1; port <= 12; ++port) {
+    for (std::uint16_t port = 1; port <= 18; ++port) {
       Open(port);
       Ask(100);
       Wait(milliseconds(40));
@@ -172,9 +172,9 @@
     exchange.Warm();
     exchange.Wait(milliseconds(300));
     BOOST_TEST(exchange.report().failures == 0U, each.name);
-    BOOST_TEST(exchange.report().good_run == 12U, each.name);
-    BOOST_TEST((exchange.report().response_time == milliseconds(40) ||
-                *exchange.report().response_time <= milliseconds(41)));
+    BOOST_TEST(exchange.report().good_run == 18U, each.name);
+    BOOST_TEST((exchange.report().response_time > milliseconds(39)));
+    BOOST_TEST((exchange.report().response_time < milliseconds(41)));
     exchange.Open(100);
     exchange.Ask(100);
     each.act(exchange);
