--- a/tests/segment/simulation.h
+++ b/tests/segment/simulation.h
@@ -176,7 +176,7 @@
                         bool backlog);
   std::uint64_t DataCenterOf(int index) const {
     if (data_centers_ == 1) return 0;
-    return static_cast<std::uint64_t>(1 + index % data_centers_);
+    return 1 + static_cast<std::uint64_t>(index % data_centers_);
   }
   /// Handles an event of a sidecar's sockets, or keeps it while the process is
   /// suspended.
