Counts of control traffic by cause

Cause: it was not visible which control traffic uses a link.

Documents that instances fetch from each other over HTTP are not counted.

--- a/tests/adapter_test.cc
+++ b/tests/adapter_test.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <string>
 
+#include "platform/control_traffic.h"
 #include "platform/document_fetch.h"
 #include "platform/heartbeat.h"
 #include "platform/metrics_text.h"
@@ -277,6 +278,44 @@
   }
 }
 
+// Guards against control traffic that is counted under another cause or as
+// frames, so that it would not be visible what a link is used for.
+BOOST_AUTO_TEST_CASE(DatagramsAreCountedByCause) {
+  constexpr std::size_t kHeaders = 28;
+  ControlTraffic traffic;
+  const auto check = [&](Direction direction, ControlCause cause,
+                         std::size_t bytes) {
+    BOOST_TEST(traffic.Bytes(direction, cause) == bytes);
+  };
+  Bytes probe;
+  segment::AppendProbe(probe);
+  traffic.OnDatagram(Direction::kIn, probe, segment::Locality::kOwn);
+  check(Direction::kIn, ControlCause::kProbe, probe.size() + kHeaders);
+  Bytes ack;
+  segment::AppendAck({}, ack);
+  traffic.OnDatagram(Direction::kOut, ack, segment::Locality::kOwn);
+  check(Direction::kOut, ControlCause::kAcknowledgement, ack.size() + kHeaders);
+  Bytes frame;
+  segment::AppendSegmentFrame({}, Bytes(100), frame);
+  traffic.OnDatagram(Direction::kOut, frame, segment::Locality::kOther);
+  BOOST_TEST(traffic.FrameBytes(Direction::kOut, segment::Locality::kOther) ==
+             frame.size() + kHeaders);
+  // Gossip: by its content, and by what the sender says.
+  peers::Message message;
+  message.sender = 1;
+  message.entries.resize(1);
+  traffic.OnGossip(Direction::kIn, message, 100);
+  check(Direction::kIn, ControlCause::kTable, 100 + kHeaders);
+  message.cause = peers::MessageCause::kForwardedChange;
+  const auto read = peers::Decode(peers::Encode(message));
+  BOOST_REQUIRE(read.has_value());
+  traffic.OnGossip(Direction::kIn, *read, 100);
+  check(Direction::kIn, ControlCause::kForwardedChange, 100 + kHeaders);
+  traffic.SetStoreBytes(7, 8);
+  check(Direction::kIn, ControlCause::kStore, 7);
+  check(Direction::kOut, ControlCause::kStore, 8);
+}
+
 // Guards against families that appear twice, which scrapers refuse, and against
 // priorities without a limit on the number of labels.
 BOOST_AUTO_TEST_CASE(MetricsTellPrioritiesApart) {
@@ -300,6 +339,13 @@
   BOOST_TEST(count(text, "\ncowslip_requests_dropped_total 0") == 1);
   BOOST_TEST(count(text, "\ncowslip_idle_slots_while_waiting_total 0") == 1);
 
+  ControlTraffic traffic;
+  const auto bytes = FormatTrafficMetrics(traffic);
+  BOOST_TEST(count(bytes, "# TYPE cowslip_control_bytes_total") == 1);
+  BOOST_TEST(count(bytes, "\ncowslip_control_bytes_total{") == 22);
+  BOOST_TEST(count(bytes, "# TYPE cowslip_frame_bytes_total") == 1);
+  BOOST_TEST(count(bytes, "\ncowslip_frame_bytes_total{") == 6);
+
   segment::BalancerStats stats;
   stats.refused[1].no_answer_in_time = 3;
   stats.refused[200].no_member = 4;
