--- a/tests/segment/cold_data_center_test.cc
+++ b/tests/segment/cold_data_center_test.cc
@@ -172,6 +172,22 @@
   }
 }
 
+// Target: nine tenths of the callers whom the limit lets be in time. Not met,
+// see KNOWN-RED.txt, so it runs only when it is named.
+BOOST_AUTO_TEST_CASE(AllUpstreamsAreColdTarget, *boost::unit_test::disabled()) {
+  constexpr double kLimit = 20;
+  // Twelve upstreams, six of them in each data centre, with two slots and 40
+  // ms.
+  constexpr double kCapacity = 12 * 50;
+  for (const double share : {0.35, 0.6}) {
+    const auto now = Return({.limit = kLimit,
+                             .share = share,
+                             .returning = ScheduledSite::kAllDataCenters});
+    const double possible = std::min(1.0, 12 * kLimit / (share * kCapacity));
+    BOOST_TEST(now.in_time >= 0.9 * possible, share << ": " << now);
+  }
+}
+
 // Guards against a limit that holds only as long as no process fails.
 BOOST_AUTO_TEST_CASE(LimitHoldsOverRestartsAndSuspensions) {
   const auto now = Return({.limit = 20, .share = 0.9, .faults = true});
