--- a/tests/segment/outlier_load_test.cc
+++ b/tests/segment/outlier_load_test.cc
@@ -123,18 +123,18 @@
 BOOST_AUTO_TEST_CASE(NobodyIsAnOutlierForCommonFaults) {
   struct Case {
     const char* name;
-    int failing;
     double load;
+    int failing;
     int nonsense = -1;
   };
   const PlannedFault fault{kFrom, kUntil, 0.45, Failure::kReset};
   const Case cases[] = {
-      {"healthy", 0, 0.6},
-      {"healthy, high load", 0, 0.9},
-      {"idle", 0, 0.05},
-      {"all fail", kUpstreams, 0.6},
-      {"two thirds fail", kUpstreams * 2 / 3, 0.6},
-      {"nonsense", 0, 0.6, 0},
+      {"healthy", 0.6, 0},
+      {"healthy, high load", 0.9, 0},
+      {"idle", 0.05, 0},
+      {"all fail", 0.6, kUpstreams},
+      {"two thirds fail", 0.6, kUpstreams * 2 / 3},
+      {"nonsense", 0.6, 0, 0},
   };
   for (const auto& each : cases) {
     BOOST_TEST_MESSAGE(each.name);
