RollingRestartLosesNoRequest reports the state of a process that doesn't end

The test now prints wchan, system call, kernel stack and log of a process that has not ended in time.

--- a/tests/platform/process_test.cc
+++ b/tests/platform/process_test.cc
@@ -62,8 +62,11 @@
   for (auto* machines : {&site->balancers(), &site->sidecars()}) {
     for (auto& machine : *machines) {
       machine->Signal(SIGTERM);
-      BOOST_TEST(RunUntil(site->loop(), seconds(3),
-                          [&] { return !machine->IsRunning(); }));
+      const bool ended = RunUntil(site->loop(), seconds(3),
+                                  [&] { return !machine->IsRunning(); });
+      BOOST_TEST(ended, machine->options().name << " still runs\n"
+                                                << machine->KernelState()
+                                                << site->LogOf(*machine));
       machine->RestartIfEnded();
       RunFor(site->loop(), milliseconds(1500));
     }
--- a/tests/process/child_process.cc
+++ b/tests/process/child_process.cc
@@ -11,6 +11,8 @@
 #include <cstdio>
 #include <thread>
 
+#include "tests/process/files.h"
+
 namespace cowslip::testing {
 namespace {
 
@@ -50,6 +52,16 @@
   if (IsRunning()) kill(child_.id(), signal);
 }
 
+std::string ChildProcess::KernelState() {
+  std::string text;
+  if (!IsRunning()) return text;
+  for (const char* name : {"wchan", "syscall", "stack", "status"}) {
+    const auto path = "/proc/" + std::to_string(child_.id()) + "/" + name;
+    text += std::string(name) + ": " + ReadFile(path) + "\n";
+  }
+  return text;
+}
+
 std::optional<int> ChildProcess::WaitForExit(std::chrono::milliseconds limit) {
   const auto deadline = std::chrono::steady_clock::now() + limit;
   while (IsRunning()) {
--- a/tests/process/child_process.h
+++ b/tests/process/child_process.h
@@ -24,6 +24,9 @@
   bool IsRunning();
   /// Sends a signal unless the process has ended.
   void Signal(int signal);
+  /// @return what the kernel tells of the process: its state, the function in
+  /// which it waits and its system call. Empty if it has ended.
+  std::string KernelState();
   /// @return the exit code (128 and the signal's number if a signal ended it),
   /// std::nullopt if it still runs after the limit.
   std::optional<int> WaitForExit(std::chrono::milliseconds limit);
