Unseen-flows tests: site numbers that no other test uses

Site 25 was taken by another process on the machine: its address could not be listened on, and FlowsOfASuspendedUpstreamSurvive ended before it began. The two new cases use 125 and 126.

--- a/tests/platform/unseen_flows_test.cc
+++ b/tests/platform/unseen_flows_test.cc
@@ -94,11 +94,11 @@
 };
 
 struct SuspendedUpstreamFixture : Fixture {
-  SuspendedUpstreamFixture() : Fixture(25) {}
+  SuspendedUpstreamFixture() : Fixture(125) {}
 };
 
 struct CrashedUpstreamFixture : Fixture {
-  CrashedUpstreamFixture() : Fixture(26) {}
+  CrashedUpstreamFixture() : Fixture(126) {}
 };
 
 }  // namespace
