--- a/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
+++ b/packages/scheduling/include/cowslip/scheduling/request_scheduler.h
@@ -152,13 +152,7 @@
   bool WastesSlot(TimePoint now) const {
     return slots_.HasIdleSlot() && waiting() > 0 && !NextPermitted(now);
   }
-  /// @return the time in which the last of a number of requests is answered.
-  /// Slots may become free all at once, so the last requests of the queue wait
-  /// for whole rounds.
-  Duration AnswerTimeOf(std::size_t requests, Duration service_time) const;
-
   bool IsWaiting(const FlowKey& flow) const;
-  bool IsRunning(const FlowKey& flow) const { return slots_.Has(flow); }
   /// @return requests that wait, without those that are only announced.
   std::size_t waiting() const { return queue_.size() - announced_; }
   /// @return requests that wait or are announced.
@@ -183,6 +177,10 @@
   bool WaitedForLimit(const QueuedRequest& request) const {
     return limited_at_ && request.arrival <= *limited_at_;
   }
+  /// @return the time in which the last of a number of requests is answered.
+  /// Slots may become free all at once, so the last requests of the queue wait
+  /// for whole rounds.
+  Duration AnswerTimeOf(std::size_t requests, Duration service_time) const;
   /// @return the time in which a request is answered that comes behind others.
   /// @param ahead requests in progress and waiting ahead of it.
   /// @param waiting those of them that wait.
