Review: a balancer that never meets the others resets open flows

Cause: balancers' entries that the store has taken away are never written again, and a balancer that starts then takes the partial list for the whole.

--- /dev/null
+++ b/review/6/case.cc
@@ -0,0 +1,102 @@
+// The store turns the balancers away for a while and takes their keys away. Then
+// a balancer and a server are added, whose seeds are stale, and later the added
+// balancer is stopped and started. No open flow may be reset.
+#include <cstdio>
+
+#include "lab.h"
+#include "platform/process_clock.h"
+
+using namespace review;
+using pa::standins::ProxyFault;
+
+int main(int argc, char** argv) {
+  if (argc != 3) return 2;
+  Bounds bounds;
+  bounds.heartbeat_ms = 770;
+  Lab lab(argv[1], argv[2], bounds);
+  const std::vector<std::uint32_t> seeds{lab.Address(81, 10), lab.Address(81, 11),
+                                         lab.Address(81, 12)};
+  // Addresses of machines that are no longer there.
+  const std::vector<std::uint32_t> stale{lab.Address(81, 200), lab.Address(81, 201),
+                                         lab.Address(81, 202)};
+  for (int i = 0; i < 3; ++i) lab.AddFront("z0", seeds);
+  for (int i = 0; i < 6; ++i) lab.AddSide("z0", "vault", seeds);
+  lab.Configure({{0, "vault"}});
+  for (auto& each : lab.fronts()) lab.Start(*each);
+  for (auto& each : lab.sides()) lab.Start(*each);
+  lab.Note("3 balancers and 6 sidecars started");
+
+  int broken = 0;
+  lab.on_packet = [&](Flow& flow, const Segment& segment) {
+    if (!segment.rst) return;
+    const auto* holder = lab.HolderOf(segment.flow);
+    const bool counts = holder != nullptr && flow.server_resets == 0;
+    lab.Note("client " + cowslip::ToString(segment.flow.caller) + " got a reset; " +
+             (holder ? "server " + cowslip::ToString(holder->options().app) + " lives, holds the flow"
+                     : std::string("no server holds the flow")) +
+             " and sent " + std::to_string(flow.server_resets) + " resets; requests of the flow: " +
+             std::to_string(flow.requests));
+    broken += counts ? 1 : 0;
+  };
+  // Traffic: 50 new flows a second, each with a request every 300 ms for 6 s.
+  std::uint64_t opened = 0, answered = 0;
+  bool traffic = true;
+  std::function<void()> arrive = [&] {
+    if (!traffic) return;
+    auto& flow = lab.Open("z0", 0);
+    ++opened;
+    auto step = std::make_shared<std::function<void(int)>>();
+    *step = [&, step, caller = flow.caller.get(), &flow = flow](int left) {
+      if (caller->state() == CallState::kAnswered) {
+        ++answered;
+        if (left > 0) {
+          ++flow.requests;
+          caller->Ask();
+        }
+      }
+      if (left > 0) {
+        lab.After(milliseconds(300), [step, left] { (*step)(left - 1); });
+      } else if (caller->open()) {
+        caller->SendFin();
+      }
+    };
+    lab.After(milliseconds(300), [step] { (*step)(20); });
+    lab.After(milliseconds(20), arrive);
+  };
+  lab.Run(milliseconds(4000));
+  for (auto& each : lab.fronts()) {
+    if (!each->in_rotation) return 2;
+  }
+  arrive();
+  lab.Run(milliseconds(5000));
+  if (WithTrouble()) {
+    lab.front_proxy().SetFault(ProxyFault::kReset);
+    int keys = 0;
+    for (auto& each : lab.fronts()) keys += lab.RevokeKeys(*each);
+    lab.Note("store: turns 3 of 9 machines away; " + std::to_string(keys) + " keys taken away");
+  }
+  lab.Run(milliseconds(9000));
+  lab.front_proxy().SetFault(ProxyFault::kNone);
+  lab.Note("store: serves all machines");
+  lab.Run(milliseconds(6000));
+  auto& front = lab.AddFront("z0", stale);
+  lab.Start(front);
+  lab.Note("add_nodes: " + front.name);
+  lab.Run(milliseconds(4000));
+  auto& side = lab.AddSide("z0", "vault", seeds);
+  lab.Start(side);
+  lab.Note("scale_out: " + side.name);
+  lab.Run(milliseconds(9000));
+  const auto before = broken;
+  auto& rolled = *lab.fronts().front();
+  lab.Note("roll_term: " + rolled.name);
+  lab.Roll(rolled);
+  lab.Run(milliseconds(10000));
+  traffic = false;
+  lab.Run(milliseconds(7000));
+  lab.Note("flows opened " + std::to_string(opened) + ", requests answered " +
+           std::to_string(answered) + ", resets of open flows " + std::to_string(broken) +
+           ", of these after the last planned work " + std::to_string(broken - before));
+  std::printf("resets of open flows: %d\n", broken);
+  return broken > 0 ? 1 : 0;
+}
