Review: the record of case 6 names all flows

Cause: the record held only the resets. Done: each flow's requests, answers, runs and resets are written too.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -49,6 +49,7 @@
     *step = [&, step, caller = flow.caller.get(), &flow = flow](int left) {
       if (caller->state() == CallState::kAnswered) {
         ++answered;
+        ++flow.answered;
         if (left > 0) {
           ++flow.requests;
           caller->Ask();
@@ -97,6 +98,7 @@
   lab.Note("flows opened " + std::to_string(opened) + ", requests answered " +
            std::to_string(answered) + ", resets of open flows " + std::to_string(broken) +
            ", of these after the last planned work " + std::to_string(broken - before));
+  lab.NoteFlows();
   std::printf("resets of open flows: %d\n", broken);
   return broken > 0 ? 1 : 0;
 }
--- a/review/standin-2/lab.cc
+++ b/review/standin-2/lab.cc
@@ -100,6 +100,19 @@
   record_.flush();
 }
 
+void Lab::NoteFlows() {
+  for (const auto& [key, flow] : flows_) {
+    char line[200];
+    std::snprintf(line, sizeof line,
+                  "flow %s to %s: opened %.3f, requests sent %d, answered %d, run %d, resets %d "
+                  "(its server sent %d)",
+                  cowslip::ToString(key.caller).c_str(), cowslip::ToString(key.service).c_str(),
+                  std::chrono::duration<double>(flow.opened - started_).count(), flow.requests,
+                  flow.answered, flow.runs, flow.resets, flow.server_resets);
+    record_ << line << '\n';
+  }
+}
+
 std::string Lab::Settings(const Machine& machine, const std::vector<std::uint32_t>& seeds,
                           const std::string& extra) const {
   const auto at = [&](std::uint32_t ip, int port) {
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -64,6 +64,7 @@
   int server_resets = 0;  ///< That its servers sent.
   int runs = 0;
   int requests = 0;
+  int answered = 0;
 };
 
 /// A deployment on loopback addresses: the system's programs as processes, the
@@ -98,6 +99,8 @@
   void Run(milliseconds time);
   void After(milliseconds delay, std::function<void()> run) { timers_.After(delay, std::move(run)); }
   void Note(const std::string& line);
+  /// Writes what was sent, answered and run on each flow to the record.
+  void NoteFlows();
   double Seconds() const;
   Server* HolderOf(const FlowKey& flow);
   /// @return whether process and machine were left alone for `stableMs`.
