Review: case 6 keeps to the bound of the seeds

Cause: the first form of the case gave the added balancer seeds that had never been alive, which is more than the lag of 3 s that the settings name. Done: the three machines that the seeds name leave as planned within the 3 s before; two servers are added in place of one.

--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,6 +1,7 @@
-// The store turns the balancers away for a while and takes their keys away. Then
-// a balancer and a server are added, whose seeds are stale, and later the added
-// balancer is stopped and started. No open flow may be reset.
+// The store turns three of twelve machines away for a while and takes their keys
+// away. Later three other balancers are taken out as planned, a balancer and a
+// server are added, and a balancer is stopped and started. No open flow may be
+// reset.
 #include <cstdio>
 
 #include "lab.h"
@@ -11,20 +12,18 @@
 
 int main(int argc, char** argv) {
   if (argc != 3) return 2;
+  constexpr milliseconds kWork{10};
   Bounds bounds;
   bounds.heartbeat_ms = 770;
   Lab lab(argv[1], argv[2], bounds);
   const std::vector<std::uint32_t> seeds{lab.Address(81, 10), lab.Address(81, 11),
                                          lab.Address(81, 12)};
-  // Addresses of machines that are no longer there.
-  const std::vector<std::uint32_t> stale{lab.Address(81, 200), lab.Address(81, 201),
-                                         lab.Address(81, 202)};
-  for (int i = 0; i < 3; ++i) lab.AddFront("z0", seeds);
-  for (int i = 0; i < 6; ++i) lab.AddSide("z0", "vault", seeds);
+  for (int i = 0; i < 6; ++i) lab.AddFront("z0", seeds, /*behind_proxy=*/i >= 3);
+  for (int i = 0; i < 6; ++i) lab.AddSide("z0", "vault", seeds, kWork);
   lab.Configure({{0, "vault"}});
   for (auto& each : lab.fronts()) lab.Start(*each);
   for (auto& each : lab.sides()) lab.Start(*each);
-  lab.Note("3 balancers and 6 sidecars started");
+  lab.Note("6 balancers and 6 sidecars started");
 
   int broken = 0;
   lab.on_packet = [&](Flow& flow, const Segment& segment) {
@@ -38,7 +37,7 @@
              std::to_string(flow.requests));
     broken += counts ? 1 : 0;
   };
-  // Traffic: 50 new flows a second, each with a request every 300 ms for 6 s.
+  // Traffic: 100 new flows a second, each with a request every 300 ms for 6 s.
   std::uint64_t opened = 0, answered = 0;
   bool traffic = true;
   std::function<void()> arrive = [&] {
@@ -62,7 +61,7 @@
       }
     };
     lab.After(milliseconds(300), [step] { (*step)(20); });
-    lab.After(milliseconds(20), arrive);
+    lab.After(milliseconds(10), arrive);
   };
   lab.Run(milliseconds(4000));
   for (auto& each : lab.fronts()) {
@@ -73,23 +72,43 @@
   if (WithTrouble()) {
     lab.front_proxy().SetFault(ProxyFault::kReset);
     int keys = 0;
-    for (auto& each : lab.fronts()) keys += lab.RevokeKeys(*each);
-    lab.Note("store: turns 3 of 9 machines away; " + std::to_string(keys) + " keys taken away");
+    for (auto& each : lab.fronts()) {
+      if (each->behind_proxy) keys += lab.RevokeKeys(*each);
+    }
+    lab.Note("store: turns 3 of 12 machines away; " + std::to_string(keys) + " keys taken away");
   }
   lab.Run(milliseconds(9000));
   lab.front_proxy().SetFault(ProxyFault::kNone);
   lab.Note("store: serves all machines");
   lab.Run(milliseconds(6000));
-  auto& front = lab.AddFront("z0", stale);
+  // The three machines that the seeds name leave, one each second.
+  for (int i = 0; i < 3; ++i) {
+    auto& leaving = *lab.fronts()[static_cast<std::size_t>(i)];
+    lab.Note("roll_term, they leave: " + leaving.name);
+    lab.Remove(leaving);
+    lab.Run(milliseconds(1000));
+  }
+  lab.Run(milliseconds(1200));
+  for (int i = 0; i < 3; ++i) {
+    if (lab.fronts()[static_cast<std::size_t>(i)]->process.IsRunning()) {
+      lab.Note(lab.fronts()[static_cast<std::size_t>(i)]->name + " still runs");
+    }
+  }
+  // Its seeds are those of 3 s before, when none of the three had ended.
+  auto& front = lab.AddFront("z0", seeds);
   lab.Start(front);
   lab.Note("add_nodes: " + front.name);
   lab.Run(milliseconds(4000));
-  auto& side = lab.AddSide("z0", "vault", seeds);
-  lab.Start(side);
-  lab.Note("scale_out: " + side.name);
+  const std::vector<std::uint32_t> present{lab.Address(81, 13), lab.Address(81, 14),
+                                           lab.Address(81, 15)};
+  for (int i = 0; i < 2; ++i) {
+    auto& side = lab.AddSide("z0", "vault", present, kWork);
+    lab.Start(side);
+    lab.Note("scale_out: " + side.name);
+  }
   lab.Run(milliseconds(9000));
   const auto before = broken;
-  auto& rolled = *lab.fronts().front();
+  auto& rolled = *lab.fronts()[3];
   lab.Note("roll_term: " + rolled.name);
   lab.Roll(rolled);
   lab.Run(milliseconds(10000));
--- a/review/standin-2/lab.cc
+++ b/review/standin-2/lab.cc
@@ -141,13 +141,15 @@
          R"(,"rollbackSlackMs":250,"skewMaxMs":)" + std::to_string(bounds_.skew_max_ms) +
          R"(,"flowSkewMs":)" + std::to_string(bounds_.flow_skew_ms) +
          R"(,"flowTtlS":60},"hash":"mod","deployMode":"agent","platform":{"address":)" +
-         at(Address(83, front ? 2 : 1), kStorePort) +
+         at(Address(83, machine.behind_proxy ? 2 : 1), kStorePort) +
          R"(,"deployMode":"kv","writesPerS":400,"readsPerS":2000,"historyS":20,)"
          R"("valueBytes":1048576,"ttlMinMs":1000}})";
 }
 
-Machine& Lab::AddFront(const std::string& zone, const std::vector<std::uint32_t>& seeds) {
+Machine& Lab::AddFront(const std::string& zone, const std::vector<std::uint32_t>& seeds,
+                       bool behind_proxy) {
   auto machine = std::make_unique<Machine>();
+  machine->behind_proxy = behind_proxy;
   machine->role = "balancer";
   machine->zone = zone;
   machine->ip = Address(81, next_front_);
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -48,6 +48,7 @@
   std::string log;
   Process process;
   bool wanted = false;  ///< The platform keeps the process running.
+  bool behind_proxy = false;
   std::optional<TimePoint> ended;
   TimePoint last_disturbed{};  ///< Last start, signal or end.
   bool in_rotation = false;
@@ -74,7 +75,9 @@
   Lab(std::string repository, std::string record_file, Bounds bounds);
   ~Lab();
 
-  Machine& AddFront(const std::string& zone, const std::vector<std::uint32_t>& seeds);
+  /// @param behind_proxy its calls to the store go through front_proxy().
+  Machine& AddFront(const std::string& zone, const std::vector<std::uint32_t>& seeds,
+                    bool behind_proxy = false);
   Machine& AddSide(const std::string& zone, const std::string& service,
                    const std::vector<std::uint32_t>& seeds, milliseconds work = milliseconds(5),
                    std::uint32_t slots = 40);
@@ -107,7 +110,7 @@
   bool InTouch(const Machine& machine) const;
 
   pa::standins::StoreStandin& store() { return *store_; }
-  /// The path of the `front` machines to the store.
+  /// The path to the store of the machines that are behind it.
   pa::standins::TcpProxy& front_proxy() { return *front_proxy_; }
   /// Takes away the keys that a machine has written.
   /// @return their number.
