--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -1,7 +1,6 @@
-// The store turns three of twelve machines away for a while and takes their keys
-// away. Later three other balancers are taken out as planned, a balancer and a
-// server are added, and a balancer is stopped and started. No open flow may be
-// reset.
+// Three balancers are replaced by three others, which the store turns away for a
+// while, and one more is added. Later two servers are added, and a balancer is
+// stopped and started. No open flow may be reset.
 #include <cstdio>
 
 #include "lab.h"
@@ -18,12 +17,14 @@
   Lab lab(argv[1], argv[2], bounds);
   const std::vector<std::uint32_t> seeds{lab.Address(81, 10), lab.Address(81, 11),
                                          lab.Address(81, 12)};
-  for (int i = 0; i < 6; ++i) lab.AddFront("z0", seeds, /*behind_proxy=*/i >= 3);
+  const std::vector<std::uint32_t> later_seeds{lab.Address(81, 13), lab.Address(81, 14),
+                                               lab.Address(81, 15)};
+  for (int i = 0; i < 3; ++i) lab.AddFront("z0", seeds);
   for (int i = 0; i < 6; ++i) lab.AddSide("z0", "vault", seeds, kWork);
   lab.Configure({{0, "vault"}});
   for (auto& each : lab.fronts()) lab.Start(*each);
   for (auto& each : lab.sides()) lab.Start(*each);
-  lab.Note("6 balancers and 6 sidecars started");
+  lab.Note("3 balancers and 6 sidecars started");
 
   int broken = 0;
   lab.on_packet = [&](Flow& flow, const Segment& segment) {
@@ -68,19 +69,24 @@
     if (!each->in_rotation) return 2;
   }
   arrive();
-  lab.Run(milliseconds(5000));
+  lab.Run(milliseconds(4000));
   if (WithTrouble()) {
     lab.front_proxy().SetFault(ProxyFault::kReset);
-    int keys = 0;
-    for (auto& each : lab.fronts()) {
-      if (each->behind_proxy) keys += lab.RevokeKeys(*each);
-    }
-    lab.Note("store: turns 3 of 12 machines away; " + std::to_string(keys) + " keys taken away");
+    lab.After(milliseconds(9000), [&] {
+      lab.front_proxy().SetFault(ProxyFault::kNone);
+      lab.Note("store: serves all machines");
+    });
+    lab.Note("store: turns 3 of 12 machines away, those that are added now");
+  }
+  for (int i = 0; i < 3; ++i) {
+    auto& added = lab.AddFront("z0", seeds, /*behind_proxy=*/true);
+    lab.Start(added);
+    lab.Note("add_nodes: " + added.name);
+  }
+  lab.Run(milliseconds(4000));
+  for (int i = 0; i < 6; ++i) {
+    if (!lab.fronts()[static_cast<std::size_t>(i)]->in_rotation) return 2;
   }
-  lab.Run(milliseconds(9000));
-  lab.front_proxy().SetFault(ProxyFault::kNone);
-  lab.Note("store: serves all machines");
-  lab.Run(milliseconds(6000));
   // The three machines that the seeds name leave, one each second.
   for (int i = 0; i < 3; ++i) {
     auto& leaving = *lab.fronts()[static_cast<std::size_t>(i)];
@@ -88,21 +94,21 @@
     lab.Remove(leaving);
     lab.Run(milliseconds(1000));
   }
-  lab.Run(milliseconds(1200));
+  lab.Run(milliseconds(1000));
   for (int i = 0; i < 3; ++i) {
-    if (lab.fronts()[static_cast<std::size_t>(i)]->process.IsRunning()) {
-      lab.Note(lab.fronts()[static_cast<std::size_t>(i)]->name + " still runs");
-    }
+    auto& left = *lab.fronts()[static_cast<std::size_t>(i)];
+    if (left.process.IsRunning()) lab.Note(left.name + " still runs");
   }
   // Its seeds are those of 3 s before, when none of the three had ended.
   auto& front = lab.AddFront("z0", seeds);
   lab.Start(front);
   lab.Note("add_nodes: " + front.name);
-  lab.Run(milliseconds(4000));
-  const std::vector<std::uint32_t> present{lab.Address(81, 13), lab.Address(81, 14),
-                                           lab.Address(81, 15)};
+  lab.Run(milliseconds(3000));
+  lab.ChangeSeeds(front, later_seeds);
+  lab.Note("SIGHUP: the settings of " + front.name + " name the other balancers as seeds");
+  lab.Run(milliseconds(3000));
   for (int i = 0; i < 2; ++i) {
-    auto& side = lab.AddSide("z0", "vault", present, kWork);
+    auto& side = lab.AddSide("z0", "vault", later_seeds, kWork);
     lab.Start(side);
     lab.Note("scale_out: " + side.name);
   }
--- a/review/standin-2/lab.cc
+++ b/review/standin-2/lab.cc
@@ -223,6 +223,11 @@
   machine.process.Signal(signal);
 }
 
+void Lab::ChangeSeeds(Machine& machine, const std::vector<std::uint32_t>& seeds) {
+  std::ofstream(machine.settings) << Settings(machine, seeds, "");
+  machine.process.Signal(SIGHUP);
+}
+
 void Lab::Roll(Machine& machine) {
   Signal(machine, SIGTERM);
   const auto pid = machine.process.pid();
@@ -319,17 +324,6 @@
   return flow;
 }
 
-int Lab::RevokeKeys(const Machine& machine) {
-  const auto address = pa::AddressText(machine.ip);
-  int count = 0;
-  for (const auto& item : store_->table().Range("", "")) {
-    if (item.key.starts_with("op/") || !item.key.ends_with("/" + address)) continue;
-    store_->Remove(item.key);
-    ++count;
-  }
-  return count;
-}
-
 Machine* Lab::Route(const std::string& zone, const FlowKey& flow) {
   std::vector<Machine*> all;
   std::vector<Machine*> ready;
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.h
@@ -84,6 +84,8 @@
   /// Starts the process of a machine and, on `side` machines, its server.
   void Start(Machine& machine);
   void Signal(Machine& machine, int signal);
+  /// Writes the settings of a `front` machine with other seeds and sends SIGHUP.
+  void ChangeSeeds(Machine& machine, const std::vector<std::uint32_t>& seeds);
   /// The process is stopped for good: SIGTERM, then SIGKILL after `graceS`.
   void Remove(Machine& machine);
   /// As the platform's `roll_term`: SIGTERM, SIGKILL after `graceS`; it starts
@@ -112,9 +114,6 @@
   pa::standins::StoreStandin& store() { return *store_; }
   /// The path to the store of the machines that are behind it.
   pa::standins::TcpProxy& front_proxy() { return *front_proxy_; }
-  /// Takes away the keys that a machine has written.
-  /// @return their number.
-  int RevokeKeys(const Machine& machine);
   std::deque<std::unique_ptr<Machine>>& fronts() { return fronts_; }
   std::deque<std::unique_ptr<Machine>>& sides() { return sides_; }
   std::map<FlowKey, Flow>& flows() { return flows_; }
