--- a/review/6/case.cc
+++ b/review/6/case.cpp
@@ -3,7 +3,7 @@
 // stopped and started. No open flow may be reset.
 #include <cstdio>
 
-#include "lab.h"
+#include "lab.hpp"
 #include "platform/process_clock.h"
 
 using namespace review;
--- a/review/standin-2/lab.cc
+++ b/review/standin-2/lab.cpp
@@ -1,4 +1,4 @@
-#include "lab.h"
+#include "lab.hpp"
 
 #include <signal.h>
 #include <stdlib.h>
@@ -89,10 +89,6 @@
   return {Address(86, 1), static_cast<std::uint16_t>(8440 + route)};
 }
 
-double Lab::Seconds() const {
-  return std::chrono::duration<double>(pa::Now() - started_).count();
-}
-
 void Lab::Note(const std::string& line) {
   char time[32];
   std::snprintf(time, sizeof time, "%9.3f ", Seconds());
--- a/review/standin-2/lab.h
+++ b/review/standin-2/lab.hpp
@@ -11,13 +11,14 @@
 
 #include "platform/event_loop.h"
 #include "platform/http_client.h"
+#include "platform/process_clock.h"
 #include "platform/standins/store_standin.h"
 #include "platform/standins/tcp_proxy.h"
 #include "platform/standins/timer_queue.h"
 #include "platform/udp_socket.h"
-#include "process.h"
+#include "process.hpp"
 #include "segment/fake_caller.h"
-#include "server.h"
+#include "server.hpp"
 
 namespace review {
 
@@ -106,7 +107,11 @@
   void Note(const std::string& line);
   /// Writes what was sent, answered and run on each flow to the record.
   void NoteFlows();
-  double Seconds() const;
+  /// @return the time since the start of the case.
+  double Seconds() const { return SecondsOf(pa::Now()); }
+  double SecondsOf(TimePoint time) const {
+    return std::chrono::duration<double>(time - started_).count();
+  }
   Server* HolderOf(const FlowKey& flow);
   /// @return whether process and machine were left alone for `stableMs`.
   bool InTouch(const Machine& machine) const;
--- a/review/standin-2/process.cc
+++ b/review/standin-2/process.cpp
@@ -1,4 +1,4 @@
-#include "process.h"
+#include "process.hpp"
 
 #include <fcntl.h>
 #include <signal.h>
--- a/review/standin-2/server.cc
+++ b/review/standin-2/server.cpp
@@ -1,4 +1,4 @@
-#include "server.h"
+#include "server.hpp"
 
 #include <stdexcept>
 
